--- /dev/null
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShardSettings.kt
@@ -0,0 +1,22 @@
+package org.camphorhall.core.jobs
+
+/** Times and limits of a [JobShard], in milliseconds unless a name says otherwise. */
+public data class JobShardSettings(
+    /** How long an answer to an agent lets the worker run on without another one. */
+    val leaseMillis: Long = 3_000,
+    /**
+     * Added to a lease before its worker is taken to have stopped everything: 2 % of clock drift, which the platform
+     * allows, and the time that a grant may take to be applied.
+     */
+    val leaseSlackMillis: Long = 250,
+    /** An agent that was silent for this long gets no new work; agents report at least twice in that time. */
+    val silentMillis: Long = 1_200,
+    /** A stop without an end is repeated after this time; workers stop a task within 900 ms. */
+    val stopRetryMillis: Long = 1_500,
+    /** How long finished jobs stay known after their end; callers may ask for two minutes. */
+    val retentionMillis: Long = 150_000,
+    /** Entries of one store transaction besides the ownership check: one condition and one write for each job. */
+    val jobsPerCommit: Int = 15,
+    /** Share of the idle processors of a worker that backfill tasks may ask for in total. */
+    val backfillShare: Double = 1.0,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobSpec.kt
@@ -0,0 +1,57 @@
+package org.camphorhall.core.jobs
+
+import kotlinx.serialization.Serializable
+import org.camphorhall.core.model.Resources
+
+/** What a caller asks for: [payload] is passed to every task; the [steps] run once, or as often as [repeat] says. */
+@Serializable
+public data class JobSpec(
+    val payload: String,
+    val steps: List<StepSpec>,
+    val repeat: Repeat? = null,
+) {
+    /** Number of times that the steps run. */
+    public val occurrences: Int get() = repeat?.count ?: 1
+}
+
+/** A schedule: occurrence `k` is due at [firstAtMillis] + k x [intervalMillis], in milliseconds since 1970. */
+@Serializable
+public data class Repeat(
+    val count: Int,
+    val firstAtMillis: Long,
+    val intervalMillis: Long,
+)
+
+/** A step of a job: [tasks] equal tasks, each with [demand], that start once all steps in [after] are done. */
+@Serializable
+public data class StepSpec(
+    val tasks: Int,
+    val demand: Resources,
+    /** Rough estimate of the run time of a task, in milliseconds; 0 if unknown. */
+    val estimateMillis: Long = 0,
+    val after: List<Int> = emptyList(),
+    /** Whether a stopped task can resume from a checkpoint. */
+    val checkpoints: Boolean = false,
+    /** Whether the tasks work only while all of them run. */
+    val gang: Boolean = false,
+    /** Whether the tasks slow down when they run on more than one rack. */
+    val singleRack: Boolean = false,
+    val requiredLabel: String? = null,
+    val dataRack: String? = null,
+    /** Maximum number of tasks of one occurrence of this step on one worker. */
+    val maxPerWorker: Int? = null,
+    /** Whether several attempts of a task may run in parallel. */
+    val speculative: Boolean = false,
+    /** Whether the tasks run until the job is cancelled. */
+    val longRunning: Boolean = false,
+    val image: String? = null,
+    /** Bound of the tail latency of a long-running task that serves users, in milliseconds. */
+    val latencyTargetMillis: Long? = null,
+    /** Whether the tasks use the processors that other tasks leave idle; their processor demand is not reserved. */
+    val backfill: Boolean = false,
+    /** Maximum number of tasks of a long-running step that the scheduler may make unavailable at a time. */
+    val maxUnavailable: Int? = null,
+) {
+    /** The part of [demand] that is reserved on a worker. */
+    val reserved: Resources get() = if (backfill) demand.copy(cpuMillis = 0) else demand
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobState.kt
@@ -0,0 +1,111 @@
+package org.camphorhall.core.jobs
+
+/** A job in the memory of its shard's owner. */
+internal class JobState(val record: JobRecord, val arrivedAt: Long) {
+    val spec: JobSpec get() = record.spec
+
+    private val steps: List<List<StepState>> = List(spec.occurrences) { k ->
+        spec.steps.mapIndexed { i, s -> StepState(record.id, k, i, s) }
+    }
+
+    /** State by what was decided; callers see [committedPhase]. */
+    var phase = JobPhase.Queued
+
+    /** State by the last record that is surely stored. */
+    var committedPhase = JobPhase.Queued
+
+    /** Store revision of the progress record; 0 if there is none. */
+    var revision = 0L
+
+    /** When the job reached its final phase. */
+    var endedAt = 0L
+
+    /** What may be sent once the present state is stored. */
+    val outbox = mutableListOf<Outgoing>()
+
+    val allSteps: Sequence<StepState> get() = steps.asSequence().flatten()
+
+    val allTasks: Sequence<TaskState> get() = allSteps.flatMap { it.tasks }
+
+    val isDone: Boolean get() = allSteps.all { it.isDone }
+
+    /** Latest time by which the job should end, by the estimates of its steps. */
+    fun deadline(): Long = arrivedAt + (record.jobClass.stretch * chainMillis()).toLong() + record.jobClass.targetMillis
+
+    /** Longest chain of estimated work through the steps of one occurrence, in milliseconds. */
+    private fun chainMillis(): Long {
+        val ends = LongArray(spec.steps.size)
+        spec.steps.forEachIndexed { i, s ->
+            ends[i] = s.estimateMillis + (s.after.filter { it in 0 until i }.maxOfOrNull { ends[it] } ?: 0L)
+        }
+        return ends.maxOrNull() ?: 0L
+    }
+
+    fun task(ref: TaskRef): TaskState? = step(ref)?.tasks?.getOrNull(ref.index)
+
+    fun step(ref: TaskRef): StepState? = steps.getOrNull(ref.occurrence)?.getOrNull(ref.step)
+
+    /** Steps that may start tasks: their predecessors are done and, in a repeated job, their occurrence is due. */
+    fun readySteps(wallMillis: Long): Sequence<StepState> {
+        if (phase.isFinal) return emptySequence()
+        return steps.asSequence().filterIndexed { k, _ -> isDue(k, wallMillis) }.flatMap { inOccurrence ->
+            inOccurrence.asSequence().filter { s ->
+                !s.isDone && s.spec.after.all { inOccurrence.getOrNull(it)?.isDone ?: false }
+            }
+        }
+    }
+
+    private fun isDue(occurrence: Int, wallMillis: Long): Boolean {
+        val r = spec.repeat ?: return true
+        return wallMillis >= r.firstAtMillis + occurrence * r.intervalMillis
+    }
+
+    fun toProgress(): ProgressRecord {
+        val workers = LinkedHashMap<String, Int>()
+        val rows = allTasks.filter { it.attempt > 0 || it.done }.map { t ->
+            val worker = t.worker?.let { key -> workers.getOrPut(key.toString()) { workers.size } } ?: -1
+            TaskProgress(
+                t.ref.occurrence,
+                t.ref.step,
+                t.ref.index,
+                t.attempt,
+                t.done,
+                t.failures,
+                worker,
+                t.checkpoint,
+            ).encode()
+        }.toList()
+        return ProgressRecord(phase, workers.keys.toList(), rows)
+    }
+
+    /** Restores the state that [progress] describes. Returns the rows that are not understood. */
+    fun restore(progress: ProgressRecord): List<String> {
+        val damaged = mutableListOf<String>()
+        phase = progress.phase
+        committedPhase = progress.phase
+        for (text in progress.tasks) {
+            val row = TaskProgress.decode(text)
+            val step = row?.let { steps.getOrNull(it.occurrence)?.getOrNull(it.step) }
+            val task = row?.let { step?.tasks?.getOrNull(it.index) }
+            if (row == null || step == null || task == null) {
+                damaged += text
+                continue
+            }
+            task.attempt = row.attempt
+            task.failures = row.failures
+            task.checkpoint = row.checkpoint
+            task.worker = progress.workers.getOrNull(row.worker)?.let(WorkerKey::parse)
+            if (row.done) step.markDone(task)
+        }
+        return damaged
+    }
+}
+
+/** Something that is sent once the state that led to it is stored. */
+internal sealed interface Outgoing {
+    /** Starts the present attempt of a task on its worker. */
+    data class Start(val task: TaskRef, val attempt: Int) : Outgoing
+
+    /** Acknowledges an end to its worker. */
+    data class Acknowledge(val worker: WorkerKey, val number: Long) : Outgoing
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/Order.kt
@@ -0,0 +1,42 @@
+package org.camphorhall.core.jobs
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** An order of the scheduler to an agent. Orders of one connection are numbered from 1. */
+@Serializable
+public sealed interface Order {
+    public val number: Long
+    public val task: TaskRef
+    public val attempt: Int
+
+    /** Starts an attempt. */
+    @Serializable
+    @SerialName("start")
+    public data class Start(
+        override val number: Long,
+        override val task: TaskRef,
+        override val attempt: Int,
+        val payload: String,
+        val checkpoint: String,
+        val traits: TaskTraits,
+    ) : Order
+
+    /** Stops an attempt. */
+    @Serializable
+    @SerialName("stop")
+    public data class Stop(
+        override val number: Long,
+        override val task: TaskRef,
+        override val attempt: Int,
+    ) : Order
+}
+
+/** What an agent has to know of a task to balance it against the others on its worker. */
+@Serializable
+public data class TaskTraits(
+    val backfill: Boolean = false,
+    val latencyTargetMillis: Long? = null,
+    val cpuMillis: Long = 0,
+    val image: String? = null,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ProgressRecord.kt
@@ -0,0 +1,41 @@
+package org.camphorhall.core.jobs
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** How far a job is, as it is stored. Tasks that were never assigned are left out. */
+@Serializable
+public data class ProgressRecord(
+    @SerialName("p") val phase: JobPhase,
+    /** Workers named by the rows. */
+    @SerialName("w") val workers: List<String> = emptyList(),
+    @SerialName("t") val tasks: List<String> = emptyList(),
+)
+
+/** One task of a [ProgressRecord]. */
+internal data class TaskProgress(
+    val occurrence: Int,
+    val step: Int,
+    val index: Int,
+    val attempt: Int,
+    val done: Boolean,
+    val failures: Int,
+    /** Index in [ProgressRecord.workers] of the worker that may run the attempt; -1 if none does. */
+    val worker: Int,
+    val checkpoint: String,
+) {
+    /** The compact form that is stored. */
+    fun encode(): String = "$occurrence,$step,$index,$attempt,${if (done) 1 else 0},$failures,$worker,$checkpoint"
+
+    companion object {
+        private const val FIELDS = 8
+
+        /** Decodes a row; null if it is damaged. */
+        fun decode(text: String): TaskProgress? {
+            val f = text.split(',', limit = FIELDS)
+            if (f.size != FIELDS) return null
+            val n = f.dropLast(1).map { it.toIntOrNull() ?: return null }
+            return TaskProgress(n[0], n[1], n[2], n[3], n[4] == 1, n[5], n[6], f.last())
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TaskScheduling.kt
@@ -0,0 +1,92 @@
+package org.camphorhall.core.jobs
+
+/**
+ * Chooses which waiting tasks start and where. Jobs go by the priority of their class, then by their deadline, so that
+ * short work is not held up by long work that has time.
+ */
+internal class TaskScheduling(
+    private val settings: JobShardSettings,
+    private val policy: PlacementPolicy = spreadByIdleProcessors,
+) {
+    /** Assigns what fits now and returns the tasks that were assigned. */
+    fun place(
+        jobs: List<JobState>,
+        workers: Collection<WorkerState>,
+        classOf: (JobClass) -> JobClass,
+        now: Long,
+        wallMillis: Long,
+    ): List<TaskState> {
+        val usable = workers.filter { it.canTakeWork(now, settings.silentMillis) }
+        if (usable.isEmpty()) return emptyList()
+        val placed = mutableListOf<TaskState>()
+        val ordered = jobs.sortedWith(compareBy({ classOf(it.record.jobClass).priority }, { it.deadline() }))
+        for (job in ordered) {
+            val service = classOf(job.record.jobClass).service
+            val candidates = usable.filter { it.profile.service == service }
+            for (step in job.readySteps(wallMillis)) placed += placeStep(step, candidates, now)
+        }
+        return placed
+    }
+
+    private fun placeStep(step: StepState, workers: List<WorkerState>, now: Long): List<TaskState> {
+        if (!step.hasWaiting) return emptyList()
+        return if (step.spec.gang) placeGang(step, workers, now) else placeTasks(step, workers, now)
+    }
+
+    private fun placeTasks(step: StepState, workers: List<WorkerState>, now: Long): List<TaskState> {
+        val placed = mutableListOf<TaskState>()
+        for (t in step.tasks) {
+            if (!t.isWaiting) continue
+            val w = choose(step, t, workers, now) ?: break
+            assign(t, w, t.attempt + 1, now)
+            placed += t
+        }
+        return placed
+    }
+
+    /** A gang starts whole, with one attempt number, or not at all. */
+    private fun placeGang(step: StepState, workers: List<WorkerState>, now: Long): List<TaskState> {
+        if (step.tasks.any { !it.isWaiting }) return emptyList()
+        val attempt = step.tasks.maxOf { it.attempt } + 1
+        val racks = if (step.spec.singleRack) workers.groupBy { it.rack }.values.toList() else listOf(workers)
+        for (rack in racks) {
+            val placed = mutableListOf<Pair<TaskState, WorkerState>>()
+            for (t in step.tasks) {
+                val w = choose(step, t, rack, now) ?: break
+                w.assign(t)
+                placed += t to w
+            }
+            val isWhole = placed.size == step.tasks.size
+            for ((t, w) in placed) {
+                w.unassign(t)
+                if (isWhole) assign(t, w, attempt, now)
+            }
+            if (isWhole) return step.tasks
+        }
+        return emptyList()
+    }
+
+    private fun assign(t: TaskState, w: WorkerState, attempt: Int, now: Long) {
+        t.attempt = attempt
+        t.worker = w.key
+        t.assignedAt = now
+        t.progressAt = now
+        w.assign(t)
+    }
+
+    private fun choose(step: StepState, t: TaskState, workers: List<WorkerState>, now: Long): WorkerState? {
+        val fitting = workers.filter { fits(step, t, it) }
+        val sound = fitting.filter { !it.health.isSuspect(now) && it.key.instance !in t.avoided }
+        val usable = sound.ifEmpty { fitting.filter { !it.health.isSuspect(now) } }.ifEmpty { fitting }
+        return if (usable.isEmpty()) null else policy(t, usable)
+    }
+
+    private fun fits(step: StepState, t: TaskState, w: WorkerState): Boolean {
+        val spec = t.spec
+        if (spec.requiredLabel != null && spec.requiredLabel !in w.profile.labels) return false
+        if (spec.maxPerWorker != null && w.tasksOf(step) >= spec.maxPerWorker) return false
+        if (!(w.reserved + spec.reserved fitsIn w.profile.capacity)) return false
+        return !spec.backfill || w.backfillCpu == 0L && w.idleCpu > 0 ||
+            w.backfillCpu + spec.demand.cpuMillis <= w.idleCpu * settings.backfillShare
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TaskState.kt
@@ -0,0 +1,42 @@
+package org.camphorhall.core.jobs
+
+/** A task in the memory of its shard's owner. */
+internal class TaskState(val ref: TaskRef, val spec: StepSpec) {
+    var done = false
+    var attempt = 0
+    var failures = 0
+    var checkpoint = ""
+
+    /** The worker that runs or may run [attempt]; null if none does. */
+    var worker: WorkerKey? = null
+
+    /** Connection and number of the start order; null until the order was sent. */
+    var order: OrderId? = null
+
+    /** When the last stop order was sent; null if the attempt is not being stopped. */
+    var stopSentAt: Long? = null
+
+    /** Instances on which the task failed, or that refused it. */
+    var avoided: Set<String> = emptySet()
+
+    var assignedAt = 0L
+    var percent = 0
+    var load = 0L
+
+    /** When [percent] changed last. */
+    var progressAt = 0L
+
+    val isWaiting: Boolean get() = !done && worker == null
+
+    /** Takes the task from its worker; it waits for the next attempt unless it is [done]. */
+    fun release() {
+        worker = null
+        order = null
+        stopSentAt = null
+        percent = 0
+        load = 0
+    }
+}
+
+/** A start order: the connection to the agent and the number of the order on it. */
+internal data class OrderId(val session: Long, val number: Long)
--- /dev/null
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/WorkerReport.kt
@@ -0,0 +1,28 @@
+package org.camphorhall.core.jobs
+
+import kotlinx.serialization.Serializable
+
+/** What an agent reports of its worker. The lists are complete. */
+@Serializable
+public data class WorkerReport(
+    val profile: WorkerProfile,
+    val running: List<AttemptRow> = emptyList(),
+    /** Ends that the scheduler has not acknowledged yet, in the order of their numbers. */
+    val ended: List<AttemptEnd> = emptyList(),
+    /** Starts that the worker refused and that surely did not run, since the last report. */
+    val refused: List<RefusedStart> = emptyList(),
+    /** All orders up to this number were carried out before the lists were read. */
+    val ordersDone: Long = 0,
+    /** Whether the worker answered lately. */
+    val reachable: Boolean = true,
+    /** Whether the worker process is gone: nothing listens at its address. */
+    val gone: Boolean = false,
+    /** Whether the worker calls itself healthy. */
+    val healthy: Boolean = true,
+    /** Upper bound of the time that leases granted to the worker still last, in milliseconds. */
+    val leaseLeftMillis: Long = 0,
+)
+
+/** A start that the worker refused; the attempt surely never runs. */
+@Serializable
+public data class RefusedStart(val task: TaskRef, val attempt: Int, val reason: String)
--- a/process/src/main/kotlin/org/camphorhall/process/Program.kt
+++ b/process/src/main/kotlin/org/camphorhall/process/Program.kt
@@ -25,6 +25,9 @@
 // The help formatter joins lines unless they end with NEL.
 private const val HARD_BREAK = "\u0085"
 
+/** Environment variable that names the settings file when the command line does not. */
+private const val SETTINGS_VARIABLE = "CAMPHORHALL_NODE_FILE"
+
 /** Version of all programs, from the file that Maven puts into the jar; `dev` when run from class files. */
 public val programVersion: String by lazy {
     ExitCode::class.java.getResourceAsStream("/META-INF/maven/org.camphorhall/camphorhall-process/pom.properties")
@@ -88,7 +91,8 @@
     private val serializer: KSerializer<S>,
     private val check: (S) -> List<SettingsProblem>,
 ) : CliktCommand(name) {
-    private val settings: Path by option("--settings", help = "Settings file, JSON with comments").path().required()
+    private val settings: Path by option("--settings", help = "Settings file, JSON with comments", envvar = SETTINGS_VARIABLE)
+        .path().required()
 
     protected fun load(): S = readSettings(settings, serializer, check).fold({ problems ->
         problems.forEach { echo("$settings: $it", err = true) }
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/Main.kt
@@ -0,0 +1,31 @@
+package org.camphorhall.scheduler
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.subcommands
+import org.camphorhall.process.program
+import org.camphorhall.process.runProgram
+import org.camphorhall.scheduler.agent.AgentOptions
+import org.camphorhall.scheduler.agent.checkAgentOptions
+import org.camphorhall.scheduler.agent.serveAgent
+import org.camphorhall.scheduler.entry.EntryOptions
+import org.camphorhall.scheduler.entry.checkEntryOptions
+import org.camphorhall.scheduler.entry.serveEntry
+
+/** Runs one of the two roles of the scheduler. */
+public fun main(args: Array<String>): Unit = runProgram(
+    Scheduler().subcommands(
+        program("entry", EntryOptions.serializer(), sample("entry"), ::checkEntryOptions, ::serveEntry),
+        program("agent", AgentOptions.serializer(), sample("agent"), ::checkAgentOptions, ::serveAgent),
+    ),
+    args,
+)
+
+private class Scheduler : CliktCommand("camphorhall-scheduler") {
+    override fun help(context: Context) = "Scheduler of jobs with steps: an entry for callers, an agent beside each worker."
+
+    override fun run() = Unit
+}
+
+private fun sample(role: String): String =
+    checkNotNull(Scheduler::class.java.getResource("/scheduler-$role.sample.json")).readText()
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/AgentProcess.kt
@@ -0,0 +1,203 @@
+package org.camphorhall.scheduler.agent
+
+import arrow.core.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.ktor.server.routing.routing
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.camphorhall.platform.fleet.FleetOperatorConfig
+import org.camphorhall.platform.fleet.FleetStore
+import org.camphorhall.platform.fleet.FleetTaskWorker
+import org.camphorhall.platform.fleet.fleetHeartbeats
+import org.camphorhall.platform.store.StoreTransaction
+import org.camphorhall.platform.store.TransactionalStore
+import org.camphorhall.platform.worker.WorkerAnnouncement
+import org.camphorhall.platform.worker.WorkerAnnouncements
+import org.camphorhall.process.ExitCode
+import org.camphorhall.process.Metrics
+import org.camphorhall.process.ShutdownSignal
+import org.camphorhall.process.binding
+import org.camphorhall.process.event
+import org.camphorhall.process.operationRoutes
+import org.camphorhall.scheduler.owner.SchedulerService
+import org.camphorhall.scheduler.owner.ShardCandidate
+import org.camphorhall.scheduler.support.ConfigFollower
+import org.camphorhall.scheduler.support.OwnerClient
+import org.camphorhall.scheduler.support.OwnerFinder
+import org.camphorhall.scheduler.support.ShardKeys
+import org.camphorhall.scheduler.support.SystemClock
+import org.camphorhall.scheduler.support.httpServer
+import org.camphorhall.wire.PeerChannels
+import org.camphorhall.wire.grpcServer
+import kotlin.time.Duration.Companion.milliseconds
+
+private val logger = KotlinLogging.logger {}
+
+/** Runs the agent until [signal] asks it to stop. */
+internal suspend fun serveAgent(options: AgentOptions, signal: ShutdownSignal): ExitCode {
+    val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    val agent = AgentProcess(options, scope)
+    try {
+        agent.start()
+        signal.await()
+        withTimeoutOrNull(AgentProcess.STOP_LIMIT) { agent.stop() }
+    } finally {
+        agent.close()
+        scope.cancel()
+    }
+    return ExitCode.Ok
+}
+
+/** The parts of a running agent. They live as long as the process. */
+private class AgentProcess(
+    private val options: AgentOptions,
+    private val scope: CoroutineScope,
+) : WorkerAnnouncements {
+    private val clock = SystemClock
+    private val metrics = Metrics()
+    private val storeCalls = metrics.counter("camphorhall_store_calls", "Calls to the key-value service", "call")
+    private val store: TransactionalStore =
+        FleetStore(options.store, STORE_CONNECT, STORE_CALL) { storeCalls.labelValues(it.name).inc() }
+    private val channels = PeerChannels()
+    private val keys = ShardKeys(ShardKeys.shardOf(options.instance, options.shards))
+    private val finder = OwnerFinder(store, keys, clock)
+    private val candidate = ShardCandidate(
+        store,
+        keys,
+        options.instance,
+        options.peers,
+        clock,
+        OwnerClient(channels),
+        config = { onChange -> ConfigFollower(FleetOperatorConfig(store), clock, onChange).run() },
+    )
+    private val grpc = grpcServer(options.peers, SchedulerService { candidate.owner })
+    private val http = httpServer(options.heartbeats) { fleetHeartbeats(options.instance, this@AgentProcess) }
+    private val metricsHttp = httpServer(options.metrics) { routing { operationRoutes(metrics) { life != null } } }
+
+    @Volatile
+    private var life: WorkerLife? = null
+
+    suspend fun start() {
+        binding { grpc.start() }
+        binding { http.start(wait = false) }
+        binding { metricsHttp.start(wait = false) }
+        scope.launch { finder.run() }
+        scope.launch { candidate.run() }
+        logger.event(Level.INFO, "agent started", "instance" to options.instance, "shards" to options.shards)
+    }
+
+    override fun announced(announcement: WorkerAnnouncement): Boolean = synchronized(this) {
+        val present = life
+        val key = announcement.profile.key
+        when {
+            present == null || isLater(announcement, present) -> replaceLife(announcement)
+            key != present.key -> return false
+            announcement.sequence > present.sequence -> {
+                present.sequence = announcement.sequence
+                present.take(announcement.profile)
+            }
+        }
+        true
+    }
+
+    /** A heartbeat of an earlier life can arrive after the first one of the next. */
+    private fun isLater(a: WorkerAnnouncement, present: WorkerLife): Boolean =
+        a.profile.key != present.key && a.profile.key.startedAtMillis >= present.key.startedAtMillis
+
+    private fun replaceLife(a: WorkerAnnouncement) {
+        life?.end()
+        logger.event(Level.INFO, "worker announced", "worker" to a.profile.key, "draining" to a.profile.draining)
+        life = WorkerLife(a)
+    }
+
+    override fun left(id: String): Unit = synchronized(this) {
+        logger.event(Level.INFO, "worker left", "worker" to id)
+    }
+
+    /** Everything that belongs to one life of the worker. */
+    private inner class WorkerLife(first: WorkerAnnouncement) {
+        val key = first.profile.key
+        var sequence = first.sequence
+
+        @Volatile
+        var link: WorkerLink? = null
+
+        @Volatile
+        private var profile = first.profile
+
+        private val job: Job = scope.launch {
+            val token = firstToken()
+            val worker = FleetTaskWorker(first.address, key.id, WORKER_CONNECT, WORKER_CALL)
+            val l = WorkerLink(profile, worker, token, clock)
+            link = l
+            l.profile = profile
+            try {
+                coroutineScope {
+                    launch { l.run() }
+                    launch { OwnerLink(l, channels, clock) { finder.owner }.run() }
+                }
+            } finally {
+                l.close()
+            }
+        }
+
+        fun take(next: org.camphorhall.core.jobs.WorkerProfile) {
+            val isNews = next.draining != profile.draining
+            profile = next
+            val l = link ?: return
+            l.profile = next
+            if (isNews) l.news.trySend(Unit)
+        }
+
+        fun end(): Unit = job.cancel()
+    }
+
+    /** Store revisions rise for ever, so that a token made from one is greater than those of all earlier agents. */
+    private suspend fun firstToken(): Long {
+        val write = StoreTransaction.Write(ShardKeys.TOKENS, options.instance.encodeToByteArray())
+        while (true) {
+            val revision = store.commit(StoreTransaction(writes = listOf(write))).getOrElse { error ->
+                logger.event(Level.WARN, "no fencing token yet", "reason" to error)
+                null
+            }
+            if (revision != null) return revision * TOKENS_PER_AGENT
+            delay(TOKEN_RETRY)
+        }
+    }
+
+    /** Hands the shard over and lets the worker run on for as long as its lease allows. */
+    suspend fun stop() {
+        logger.event(Level.INFO, "agent stops", "instance" to options.instance)
+        candidate.resign()
+        life?.link?.extend()
+    }
+
+    fun close() {
+        http.stop(0, 0)
+        metricsHttp.stop(0, 0)
+        grpc.shutdownNow()
+        channels.close()
+    }
+
+    companion object {
+        val STORE_CONNECT = 500.milliseconds
+        val STORE_CALL = 800.milliseconds
+        val WORKER_CONNECT = 300.milliseconds
+        val WORKER_CALL = 800.milliseconds
+        val TOKEN_RETRY = 100.milliseconds
+
+        /** A stop takes two calls to the store and one to the worker. */
+        val STOP_LIMIT = 1_500.milliseconds
+
+        /** Tokens that one life of an agent can use before it would reach those of the next. */
+        const val TOKENS_PER_AGENT = 1_000_000L
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
@@ -0,0 +1,296 @@
+package org.camphorhall.scheduler.agent
+
+import arrow.core.Either
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withTimeoutOrNull
+import org.camphorhall.core.jobs.AttemptEnd
+import org.camphorhall.core.jobs.AttemptRow
+import org.camphorhall.core.jobs.BackfillThrottle
+import org.camphorhall.core.jobs.Order
+import org.camphorhall.core.jobs.RefusedStart
+import org.camphorhall.core.jobs.TaskRef
+import org.camphorhall.core.jobs.TaskTraits
+import org.camphorhall.core.jobs.WorkerLease
+import org.camphorhall.core.jobs.WorkerProfile
+import org.camphorhall.core.jobs.WorkerReport
+import org.camphorhall.platform.worker.StartAnswer
+import org.camphorhall.platform.worker.StartCall
+import org.camphorhall.platform.worker.TaskWorker
+import org.camphorhall.platform.worker.WorkerError
+import org.camphorhall.platform.worker.WorkerLists
+import org.camphorhall.process.event
+import org.camphorhall.scheduler.support.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * The connection to one life of the worker beside the agent: keeps its lease, carries out orders and knows what it runs.
+ * [firstToken] must be greater than any token that an earlier agent used on the worker.
+ */
+internal class WorkerLink(
+    profile: WorkerProfile,
+    private val worker: TaskWorker,
+    firstToken: Long,
+    private val clock: Clock,
+) {
+    /** What the worker last said of itself. */
+    @Volatile
+    var profile: WorkerProfile = profile
+
+    /** Gets an element when there is news for the owner. */
+    val news = Channel<Unit>(Channel.CONFLATED)
+
+    private val lock = Mutex()
+    private val lease = WorkerLease()
+    private val throttle = BackfillThrottle()
+    private val traits = HashMap<TaskRef, TaskTraits>()
+    private val orders = OrderLedger()
+    private var token = firstToken
+    private var running = emptyList<AttemptRow>()
+    private var ended = emptyList<AttemptEnd>()
+    private var refused = emptyList<Pair<Long, RefusedStart>>()
+    private var endsStored = 0L
+    private var listedOrders = 0L
+    private var answeredAt = 0L
+    private var leaseSentUntil = 0L
+    private var portClosed = 0
+    private val stored = Channel<Unit>(Channel.CONFLATED)
+
+    /** Keeps the lease and the lists up to date until the worker's life ends. */
+    suspend fun run() {
+        while (true) {
+            // Ends that are not stored yet are listed by every answer at once.
+            val hasUnstored = lock.withLock { ended.any { it.number > endsStored } }
+            if (hasUnstored) withTimeoutOrNull(STORE_WAIT) { stored.receive() }
+            val error = look(if (hasUnstored) Duration.ZERO else LOOK_WAIT)
+            if (error != null) delay(RETRY) else balance()
+        }
+    }
+
+    /** Takes a lease that the owner granted. */
+    suspend fun grant(from: Long, leaseMillis: Long): Unit = lock.withLock { lease.grant(from, leaseMillis) }
+
+    /** Takes the news that all ends up to [number] are stored. */
+    suspend fun noteStored(number: Long) {
+        lock.withLock { endsStored = maxOf(endsStored, number) }
+        stored.trySend(Unit)
+    }
+
+    /** Takes traits of tasks that an earlier agent started. */
+    suspend fun learn(known: Map<TaskRef, TaskTraits>): Unit = lock.withLock { known.forEach(traits::putIfAbsent) }
+
+    /**
+     * Makes sure that no start sent so far is carried out later, and reads the lists. Orders of an earlier connection are
+     * forgotten. Returns false if the worker does not answer.
+     */
+    suspend fun fence(): Boolean {
+        lock.withLock {
+            token++
+            orders.reset()
+            listedOrders = 0
+        }
+        return look(Duration.ZERO) == null
+    }
+
+    /** Carries out [order]. */
+    suspend fun execute(order: Order) {
+        lock.withLock { orders.begin(order.number) }
+        when (order) {
+            is Order.Start -> start(order)
+            is Order.Stop -> stop(order)
+        }
+        lock.withLock { orders.end(order.number) }
+        // The lists that follow the order tell the owner what became of it.
+        if (order is Order.Stop) look(Duration.ZERO)
+    }
+
+    /** What the owner is told of the worker. */
+    suspend fun report(isFenced: Boolean): WorkerReport = lock.withLock {
+        val now = clock.steady()
+        refused = refused.filter { (at, _) -> now - at < REFUSALS_KEPT_MILLIS }
+        WorkerReport(
+            profile = profile,
+            running = running,
+            ended = ended.filter { it.number > endsStored },
+            refused = refused.map { it.second },
+            ordersDone = listedOrders,
+            reachable = isFenced && now - answeredAt < SILENT_MILLIS,
+            gone = portClosed >= GONE_AFTER,
+            leaseLeftMillis = (leaseSentUntil - now).coerceAtLeast(0) * DRIFT_PERCENT / FULL_PERCENT,
+        )
+    }
+
+    /** Extends the lease as far as it was granted, before the agent stops. */
+    suspend fun extend() {
+        look(Duration.ZERO)
+    }
+
+    fun close(): Unit = worker.close()
+
+    private suspend fun look(wait: Duration): WorkerError? {
+        var ordersBefore = 0L
+        var grantedUntil = 0L
+        val call = lock.withLock {
+            ordersBefore = orders.doneUpTo
+            grantedUntil = lease.grantedUntil
+            LookCall(token, endsStored, lease.untilOnWorker(clock.steady()))
+        }
+        if (call.until != null) lock.withLock { leaseSentUntil = maxOf(leaseSentUntil, grantedUntil) }
+        return when (val r = worker.hold(call.token, call.endsStored, call.until, wait)) {
+            is Either.Right -> null.also { take(r.value, ordersBefore) }
+            is Either.Left -> r.value.also { noteError(it) }
+        }
+    }
+
+    private class LookCall(val token: Long, val endsStored: Long, val until: Long?)
+
+    private suspend fun take(lists: WorkerLists, ordersBefore: Long) {
+        val now = clock.steady()
+        val isNews = lock.withLock {
+            if (answeredAt != 0L && now - answeredAt >= SILENT_MILLIS) logger.event(Level.INFO, "worker answers again")
+            answeredAt = now
+            portClosed = 0
+            lease.noteClock(lists.time.millis, now)
+            val isNews = lists.ended.any { it.number > endsStored } || listedOrders != ordersBefore ||
+                lists.running.size != running.size
+            running = lists.running
+            ended = lists.ended
+            listedOrders = maxOf(listedOrders, ordersBefore.coerceAtMost(orders.doneUpTo))
+            traits.keys.retainAll { it in orders.starting || running.any { row -> row.task == it } }
+            isNews
+        }
+        if (isNews) news.trySend(Unit)
+    }
+
+    private suspend fun noteError(error: WorkerError) {
+        logger.event(Level.WARN, "worker does not answer", "worker" to profile.key, "reason" to error)
+        lock.withLock {
+            when (error) {
+                is WorkerError.Refused, WorkerError.OtherLife -> portClosed++
+                WorkerError.Fenced -> token += TOKEN_STEP
+                else -> Unit
+            }
+        }
+        news.trySend(Unit)
+    }
+
+    private suspend fun start(order: Order.Start) {
+        val call = lock.withLock {
+            val until = lease.untilOnWorker(clock.steady())
+            if (until == null || profile.draining) {
+                null
+            } else {
+                orders.starting += order.task
+                traits[order.task] = order.traits
+                leaseSentUntil = maxOf(leaseSentUntil, lease.grantedUntil)
+                StartCall(order.task, order.attempt, order.payload, order.checkpoint, until, token)
+            }
+        }
+        if (call == null) {
+            refuse(order, if (profile.draining) "worker drains" else "no lease")
+            return
+        }
+        when (val answer = worker.start(call)) {
+            StartAnswer.Started -> Unit
+            is StartAnswer.Refused -> refuse(order, answer.reason)
+            StartAnswer.Fenced -> refuse(order, "fenced")
+            is StartAnswer.Unknown -> settle(order, answer.detail)
+        }
+        lock.withLock { orders.starting -= order.task }
+    }
+
+    /** A start without an answer may be carried out later. A greater token rules that out; the lists then tell. */
+    private suspend fun settle(order: Order.Start, detail: String) {
+        logger.event(
+            Level.WARN,
+            "start not answered",
+            "task" to order.task,
+            "attempt" to order.attempt,
+            "reason" to detail,
+        )
+        val fenced = lock.withLock { ++token }
+        while (true) {
+            val error = look(Duration.ZERO)
+            val isSettled = error == null && lock.withLock { token >= fenced }
+            if (isSettled) break
+            delay(RETRY)
+        }
+        val isKnown = lock.withLock {
+            running.any { it.task == order.task && it.attempt == order.attempt } ||
+                ended.any { it.task == order.task && it.attempt == order.attempt }
+        }
+        if (!isKnown) refuse(order, "no answer, and fenced since")
+    }
+
+    private suspend fun refuse(order: Order.Start, reason: String) {
+        logger.event(
+            Level.INFO,
+            "start refused",
+            "task" to order.task,
+            "attempt" to order.attempt,
+            "reason" to reason,
+        )
+        lock.withLock { refused = refused + (clock.steady() to RefusedStart(order.task, order.attempt, reason)) }
+        news.trySend(Unit)
+    }
+
+    private suspend fun stop(order: Order.Stop) {
+        repeat(STOP_TRIES) {
+            val error = worker.stop(order.task, order.attempt, lock.withLock { token }).leftOrNull() ?: return
+            logger.event(
+                Level.WARN,
+                "stop not carried out",
+                "task" to order.task,
+                "attempt" to order.attempt,
+                "reason" to error,
+            )
+            delay(RETRY)
+        }
+    }
+
+    /** Adapts the shares of backfill tasks to the latency of the tasks beside them. */
+    private suspend fun balance() {
+        val (shares, token) = lock.withLock { throttle.decide(running, traits, clock.steady()) to token }
+        for (s in shares) {
+            worker.throttle(s.task, s.attempt, s.percent, token).fold(
+                { logger.event(Level.INFO, "share not set", "task" to s.task, "percent" to s.percent, "reason" to it) },
+                { lock.withLock { throttle.applied(s) } },
+            )
+        }
+    }
+
+    private companion object {
+        /** The worker answers after this time if nothing ends; leases are extended as often. */
+        val LOOK_WAIT = 400.milliseconds
+
+        /** Longest wait for the owner to store an end before the lists are read again. */
+        val STORE_WAIT = 150.milliseconds
+        val RETRY = 50.milliseconds
+
+        /** The worker counts as unreachable after this time without an answer: two looks that failed. */
+        const val SILENT_MILLIS = 1_500L
+
+        /** Connections refused in a row after which the worker process counts as gone. */
+        const val GONE_AFTER = 3
+
+        /** A refusal is reported for this long, so that a lost report does no harm. */
+        const val REFUSALS_KEPT_MILLIS = 3_000L
+
+        /** Tries of one stop order; the owner repeats the order. */
+        const val STOP_TRIES = 3
+
+        /** Passes a token that a start under way may have raised. */
+        const val TOKEN_STEP = 16L
+
+        /** A worker's clock may run 2 % slow; one more percent for the agent's own. */
+        const val DRIFT_PERCENT = 103
+        const val FULL_PERCENT = 100
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/EntryProcess.kt
@@ -0,0 +1,118 @@
+package org.camphorhall.scheduler.entry
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.ktor.server.routing.routing
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.camphorhall.platform.fleet.FleetOperatorConfig
+import org.camphorhall.platform.fleet.FleetStore
+import org.camphorhall.platform.fleet.fleetCallers
+import org.camphorhall.platform.fleet.fleetReadiness
+import org.camphorhall.platform.store.TransactionalStore
+import org.camphorhall.process.ExitCode
+import org.camphorhall.process.Metrics
+import org.camphorhall.process.ShutdownSignal
+import org.camphorhall.process.binding
+import org.camphorhall.process.event
+import org.camphorhall.process.operationRoutes
+import org.camphorhall.scheduler.support.ConfigFollower
+import org.camphorhall.scheduler.support.OwnerClient
+import org.camphorhall.scheduler.support.OwnerFinder
+import org.camphorhall.scheduler.support.ShardKeys
+import org.camphorhall.scheduler.support.SystemClock
+import org.camphorhall.scheduler.support.httpServer
+import org.camphorhall.wire.PeerChannels
+import kotlin.time.Duration.Companion.milliseconds
+
+private val logger = KotlinLogging.logger {}
+
+/** Runs the entry until [signal] asks it to stop and its requests in flight are answered. */
+internal suspend fun serveEntry(options: EntryOptions, signal: ShutdownSignal): ExitCode {
+    val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    val entry = EntryProcess(options, scope)
+    try {
+        entry.start()
+        signal.await()
+        entry.stop()
+    } finally {
+        entry.close()
+        scope.cancel()
+    }
+    return ExitCode.Ok
+}
+
+/** The parts of a running entry. They live as long as the process. */
+private class EntryProcess(private val options: EntryOptions, private val scope: CoroutineScope) {
+    private val clock = SystemClock
+    private val metrics = Metrics()
+    private val storeCalls = metrics.counter("camphorhall_store_calls", "Calls to the key-value service", "call")
+    private val store: TransactionalStore =
+        FleetStore(options.store, STORE_CONNECT, STORE_CALL) { storeCalls.labelValues(it.name).inc() }
+    private val channels = PeerChannels()
+    private val shards = List(options.shards) { OwnerFinder(store, ShardKeys(it), clock) }
+    private val config = ConfigFollower(FleetOperatorConfig(store), clock)
+    private val intake = RealJobIntake(
+        config = { config.config },
+        records = JobRecords(store, options.shards, clock),
+        owners = OwnerQuestions(OwnerClient(channels), shards),
+        scope = scope,
+        clock = clock,
+        metrics = IntakeMetrics(metrics),
+    )
+    private val callers = httpServer(options.callers) { fleetCallers(intake) }
+    private val readiness = httpServer(options.readiness) { fleetReadiness(::isReady) }
+    private val metricsHttp = httpServer(options.metrics) { routing { operationRoutes(metrics, ::isReady) } }
+
+    @Volatile
+    private var isStopping = false
+
+    fun start() {
+        binding { callers.start(wait = false) }
+        binding { readiness.start(wait = false) }
+        binding { metricsHttp.start(wait = false) }
+        shards.forEach { scope.launch { it.run() } }
+        scope.launch { config.run() }
+        logger.event(Level.INFO, "entry started", "instance" to options.instance, "shards" to options.shards)
+    }
+
+    /** Without the store no job can be accepted; the balancer has better entries then. */
+    private fun isReady(): Boolean =
+        !isStopping && config.config != null && clock.steady() - config.checkedAt < STORE_SILENT_MILLIS
+
+    /** Serves until the balancer has noticed, then until nothing is in flight. */
+    suspend fun stop() {
+        isStopping = true
+        logger.event(Level.INFO, "entry stops", "instance" to options.instance, "inFlight" to intake.inFlight)
+        delay(BALANCER_NOTICES)
+        withTimeoutOrNull(DRAIN_LIMIT) { while (intake.inFlight > 0) delay(DRAIN_POLL) }
+    }
+
+    fun close() {
+        callers.stop(0, STOP_MILLIS)
+        readiness.stop(0, 0)
+        metricsHttp.stop(0, 0)
+        channels.close()
+    }
+
+    private companion object {
+        val STORE_CONNECT = 500.milliseconds
+
+        /** Some hundred times the usual answer, so that a slow store still serves. */
+        val STORE_CALL = 800.milliseconds
+
+        /** Two watches of the configuration that failed. */
+        const val STORE_SILENT_MILLIS = 2_500L
+
+        /** The balancer asks once a second and needs two misses. */
+        val BALANCER_NOTICES = 2_200.milliseconds
+        val DRAIN_LIMIT = 2_500.milliseconds
+        val DRAIN_POLL = 20.milliseconds
+        const val STOP_MILLIS = 200L
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/IntakeMetrics.kt
@@ -0,0 +1,18 @@
+package org.camphorhall.scheduler.entry
+
+import org.camphorhall.process.Metrics
+
+/** Metrics of the requests of callers, by class of work. */
+internal class IntakeMetrics(metrics: Metrics) {
+    private val answers = metrics.counter("camphorhall_intake_answers", "Answers to callers", "class", "call", "answer")
+    private val latency = metrics.histogram("camphorhall_intake_seconds", "Time to answer callers", "class", "call")
+
+    fun answered(classId: String, call: String, answer: String, millis: Long) {
+        answers.labelValues(classId, call, answer).inc()
+        latency.labelValues(classId, call).observe(millis / MILLIS_PER_SECOND)
+    }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/OwnerQuestions.kt
@@ -0,0 +1,49 @@
+package org.camphorhall.scheduler.entry
+
+import arrow.core.Either
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import org.camphorhall.core.jobs.JobPhase
+import org.camphorhall.process.event
+import org.camphorhall.scheduler.protocol.Question
+import org.camphorhall.scheduler.protocol.Reply
+import org.camphorhall.scheduler.support.OwnerClient
+import org.camphorhall.scheduler.support.OwnerFinder
+import org.camphorhall.scheduler.support.ShardKeys
+import kotlin.time.Duration.Companion.milliseconds
+
+private val logger = KotlinLogging.logger {}
+
+/** Asks the owners of the shards. */
+internal class OwnerQuestions(private val client: OwnerClient, private val shards: List<OwnerFinder>) {
+    /** Tells the owner of [job] something. A message that is lost does no harm: owners also read the store. */
+    suspend fun tell(job: String, news: Question) {
+        ask(ShardKeys.shardOf(job, shards.size), news)
+    }
+
+    /** State of [job] by its owner; null if it does not answer or does not know the job. */
+    suspend fun phaseOf(job: String): JobPhase? =
+        (ask(ShardKeys.shardOf(job, shards.size), Question.Phase(job)) as? Reply.Phase)?.phase
+
+    /** Number of waiting jobs of a class in all shards; null if an owner does not answer. */
+    suspend fun waiting(classId: String): Int? =
+        shards.indices.sumOf { (ask(it, Question.Waiting(classId)) as? Reply.Waiting)?.jobs ?: return null }
+
+    private suspend fun ask(shard: Int, question: Question): Reply? {
+        val finder = shards[shard]
+        val owner = finder.owner ?: return null.also { finder.doubt() }
+        return when (val r = client.askAt(owner.address, question, TIMEOUT)) {
+            is Either.Left -> {
+                logger.event(Level.INFO, "owner did not answer", "owner" to owner.instance, "reason" to r.value)
+                finder.doubt()
+                null
+            }
+            is Either.Right -> r.value.also { if (it == Reply.NotOwner) finder.doubt() }
+        }
+    }
+
+    private companion object {
+        /** Some hundred times the usual answer; callers' requests go to the store after it. */
+        val TIMEOUT = 500.milliseconds
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/OwnerEvent.kt
@@ -0,0 +1,27 @@
+package org.camphorhall.scheduler.owner
+
+import kotlinx.coroutines.CompletableDeferred
+import org.camphorhall.core.jobs.Commit
+import org.camphorhall.core.jobs.JobClass
+import org.camphorhall.core.jobs.JobRecord
+import org.camphorhall.scheduler.protocol.AgentMessage
+import org.camphorhall.scheduler.protocol.Question
+import org.camphorhall.scheduler.protocol.Reply
+
+/** What the loop of a shard's owner handles, one at a time. */
+internal sealed interface OwnerEvent {
+    class Reported(val session: AgentSession, val message: AgentMessage) : OwnerEvent
+
+    class Detached(val session: AgentSession) : OwnerEvent
+
+    class Asked(val question: Question, val reply: CompletableDeferred<Reply>) : OwnerEvent
+
+    class Found(val jobs: List<JobRecord>, val cancelled: List<String>) : OwnerEvent
+
+    class Configured(val classes: Map<String, JobClass>) : OwnerEvent
+
+    /** [revision] is null if the shard has another owner. */
+    class Written(val commit: Commit, val revision: Long?) : OwnerEvent
+
+    data object Tick : OwnerEvent
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/OwnerLookup.kt
@@ -0,0 +1,17 @@
+package org.camphorhall.scheduler.owner
+
+import arrow.core.Either
+import arrow.core.flatMap
+import org.camphorhall.platform.store.StoreError
+import org.camphorhall.platform.store.TransactionalStore
+import org.camphorhall.scheduler.protocol.documentJson
+import org.camphorhall.scheduler.support.ShardKeys
+
+/** Decodes an [OwnerRecord]; a damaged one is an error, not an absent owner. */
+internal fun decodeOwner(value: ByteArray): Either<StoreError, OwnerRecord> =
+    Either.catch { documentJson.decodeFromString(OwnerRecord.serializer(), value.decodeToString()) }
+        .mapLeft { StoreError.Uncertain("owner record not understood: ${it.message}") }
+
+/** Reads the owner of a shard; the answer may be seconds old. Null while there is none. */
+internal suspend fun findOwner(store: TransactionalStore, keys: ShardKeys): Either<StoreError, OwnerRecord?> =
+    store.getStale(keys.owner).flatMap { e -> if (e == null) Either.Right(null) else decodeOwner(e.value) }
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/SchedulerService.kt
@@ -0,0 +1,47 @@
+package org.camphorhall.scheduler.owner
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.grpc.Status
+import io.grpc.StatusException
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.channelFlow
+import kotlinx.coroutines.launch
+import org.camphorhall.process.event
+import org.camphorhall.scheduler.protocol.AgentMessage
+import org.camphorhall.scheduler.protocol.OwnerMessage
+import org.camphorhall.scheduler.protocol.Question
+import org.camphorhall.scheduler.protocol.Reply
+import org.camphorhall.scheduler.protocol.decode
+import org.camphorhall.scheduler.protocol.documentOf
+import org.camphorhall.wire.proto.Document
+import org.camphorhall.wire.proto.SchedulerGrpcKt.SchedulerCoroutineImplBase
+import java.util.concurrent.atomic.AtomicLong
+
+private val logger = KotlinLogging.logger {}
+
+/** Takes the messages of agents and entries for the shard that this process owns, if it does. */
+internal class SchedulerService(private val owner: () -> ShardOwner?) : SchedulerCoroutineImplBase() {
+    private val lastSession = AtomicLong()
+
+    override fun attach(requests: Flow<Document>): Flow<Document> = channelFlow {
+        val shard = owner() ?: throw StatusException(Status.FAILED_PRECONDITION.withDescription("not the owner"))
+        val session = AgentSession(lastSession.incrementAndGet())
+        launch {
+            for (m in session.outgoing) send(documentOf(OwnerMessage.serializer(), m))
+            close(StatusException(Status.UNAVAILABLE.withDescription("connection closed by the owner")))
+        }
+        try {
+            requests.collect { shard.send(OwnerEvent.Reported(session, it.decode(AgentMessage.serializer()))) }
+        } finally {
+            logger.event(Level.INFO, "agent connection ended", "session" to session.id)
+            shard.send(OwnerEvent.Detached(session))
+            session.outgoing.close()
+        }
+    }
+
+    override suspend fun ask(request: Document): Document {
+        val reply = owner()?.ask(request.decode(Question.serializer())) ?: Reply.NotOwner
+        return documentOf(Reply.serializer(), reply)
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardCandidate.kt
@@ -0,0 +1,113 @@
+package org.camphorhall.scheduler.owner
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.camphorhall.core.jobs.JobShardSettings
+import org.camphorhall.platform.operator.OperatorConfig
+import org.camphorhall.platform.store.TransactionalStore
+import org.camphorhall.process.event
+import org.camphorhall.scheduler.protocol.Question
+import org.camphorhall.scheduler.protocol.Reply
+import org.camphorhall.scheduler.support.Clock
+import org.camphorhall.scheduler.support.OwnerClient
+import org.camphorhall.scheduler.support.ShardKeys
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+
+private val logger = KotlinLogging.logger {}
+
+/** Takes a shard when it has no owner, and runs it while it is held. */
+internal class ShardCandidate(
+    private val store: TransactionalStore,
+    private val keys: ShardKeys,
+    instance: String,
+    private val address: String,
+    private val clock: Clock,
+    private val client: OwnerClient,
+    private val config: suspend (onChange: (OperatorConfig) -> Unit) -> Unit,
+    private val settings: JobShardSettings = JobShardSettings(),
+) {
+    private val ownership = Ownership(store, keys, instance, address, clock)
+
+    /** The running shard; null while another process owns it. */
+    @Volatile
+    var owner: ShardOwner? = null
+        private set
+
+    /** Runs for the lifetime of the process. */
+    suspend fun run() {
+        while (true) {
+            delay((POLL_MILLIS + Random.nextLong(JITTER_MILLIS)).milliseconds)
+            // An unreadable store shows nothing; the shard is left alone then.
+            val isOwned = findOwner(store, keys).fold({ true }, { it != null })
+            if (!isOwned && ownership.tryTake()) lead()
+        }
+    }
+
+    private suspend fun lead() {
+        logger.event(Level.INFO, "shard taken", "shard" to keys.owner, "epoch" to ownership.epoch)
+        val grace = graceOf(ownership.predecessor)
+        val shard = ShardOwner(ownership, ShardStore(store, keys), settings, clock)
+        owner = shard
+        try {
+            coroutineScope {
+                val renewal = launch { keep(shard) }
+                val follow = launch { config { shard.send(OwnerEvent.Configured(it.classes)) } }
+                shard.run(grace)
+                renewal.cancel()
+                follow.cancel()
+            }
+        } finally {
+            owner = null
+            shard.close()
+            ownership.release()
+            logger.event(Level.INFO, "shard given up", "shard" to keys.owner)
+        }
+    }
+
+    /** How long an earlier owner may go on extending leases: not at all once it has resigned or its process is gone. */
+    private suspend fun graceOf(predecessor: OwnerRecord?): Long {
+        if (predecessor == null || predecessor.address == address) return 0
+        val reply = client.askAt(predecessor.address, Question.Resign(ownership.epoch), RESIGN_TIMEOUT)
+        val isGone = reply.fold({ it.isPortClosed }, { it == Reply.Noted || it == Reply.NotOwner })
+        logger.event(Level.INFO, "earlier owner asked to resign", "owner" to predecessor.instance, "gone" to isGone)
+        return if (isGone) 0 else Ownership.GRACE_MILLIS
+    }
+
+    private suspend fun keep(shard: ShardOwner) {
+        while (true) {
+            delay(RENEW)
+            when (ownership.renew()) {
+                OwnershipState.Held -> Unit
+                OwnershipState.Unknown -> logger.event(Level.WARN, "ownership not renewed", "epoch" to ownership.epoch)
+                OwnershipState.Lost -> {
+                    logger.event(Level.WARN, "ownership lost", "epoch" to ownership.epoch)
+                    shard.close()
+                    return
+                }
+            }
+        }
+    }
+
+    /** Gives the shard up at a planned stop. */
+    suspend fun resign() {
+        val shard = owner ?: return
+        shard.close()
+        ownership.resign()
+    }
+
+    private companion object {
+        /** Between two looks for an owner; each is one cheap read. */
+        const val POLL_MILLIS = 400L
+
+        /** Spreads the candidates, so that one of them takes a free shard before the others try. */
+        const val JITTER_MILLIS = 400L
+
+        /** Four renewals fit into [Ownership.LEASE_MILLIS]. */
+        val RENEW = 500.milliseconds
+        val RESIGN_TIMEOUT = 400.milliseconds
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardStore.kt
@@ -0,0 +1,125 @@
+package org.camphorhall.scheduler.owner
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import arrow.core.left
+import arrow.core.right
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import kotlinx.coroutines.delay
+import org.camphorhall.core.jobs.Commit
+import org.camphorhall.core.jobs.JobRecord
+import org.camphorhall.core.jobs.ProgressRecord
+import org.camphorhall.core.jobs.StoredJob
+import org.camphorhall.platform.store.StoreEntry
+import org.camphorhall.platform.store.StoreError
+import org.camphorhall.platform.store.StoreTransaction
+import org.camphorhall.platform.store.TransactionalStore
+import org.camphorhall.process.event
+import org.camphorhall.scheduler.protocol.documentJson
+import org.camphorhall.scheduler.support.ShardKeys
+import kotlin.time.Duration.Companion.milliseconds
+
+private val logger = KotlinLogging.logger {}
+
+/** The records of one shard in the store. */
+internal class ShardStore(private val store: TransactionalStore, private val keys: ShardKeys) {
+    /** Jobs as of [revision]. */
+    class Loaded(val jobs: List<StoredJob>, val revision: Long)
+
+    /** Reads all jobs with their progress. */
+    suspend fun load(): Either<StoreError, Loaded> {
+        val progress = store.list(keys.progress).getOrElse { return it.left() }.items.associateBy { keys.progressOf(it.key) }
+        val inbox = store.list(keys.inbox).getOrElse { return it.left() }
+        val cancelled = inbox.items.mapNotNull { keys.cancelledOf(it.key) }.toSet()
+        val jobs = inbox.items.filter { keys.jobOf(it.key) != null }.mapNotNull(::jobOf).map { record ->
+            val entry = progress[record.id]
+            StoredJob(record, entry?.let(::progressOf), entry?.version ?: 0, record.id in cancelled)
+        }
+        return Loaded(jobs, inbox.revision).right()
+    }
+
+    /**
+     * Writes [commit] while the epoch key has [epochRevision]; repeats calls whose outcome is open. Returns the new
+     * revision, or null if the shard has another owner.
+     */
+    suspend fun write(commit: Commit, epochRevision: Long): Long? {
+        val writes = commit.writes.map { StoreTransaction.Write(keys.progress(it.job), encode(it.record)) }
+        val conditions = commit.writes.associate { keys.progress(it.job) to it.expectedRevision }
+        val transaction = StoreTransaction(conditions + (keys.epoch to epochRevision), writes)
+        var pause = RETRY_MILLIS
+        while (true) {
+            val error = store.commit(transaction).fold({ it }, { return it })
+            if (error is StoreError.Conflict) return afterConflict(error.current, writes, epochRevision)
+            logger.event(Level.INFO, "progress not written yet", "jobs" to writes.size, "reason" to error)
+            delay(pause.milliseconds)
+            pause = (pause * 2).coerceAtMost(MAX_RETRY_MILLIS)
+        }
+    }
+
+    /** An earlier call without an answer may have made the change; then every record has our value. */
+    private fun afterConflict(current: List<StoreEntry>, writes: List<StoreTransaction.Write>, epoch: Long): Long? {
+        val byKey = current.associateBy { it.key }
+        if (byKey[keys.epoch]?.version != epoch) return null
+        val revisions = writes.map { w ->
+            byKey[w.key]?.takeIf { it.value.contentEquals(w.value) }?.version
+        }.distinct()
+        val revision = revisions.singleOrNull()
+        if (revision == null) {
+            logger.event(Level.ERROR, "progress records differ from what this owner wrote", "jobs" to writes.size)
+        }
+        return revision
+    }
+
+    /** Waits for new jobs and cancellations after [revision]. */
+    suspend fun awaitInbox(revision: Long): Either<StoreError, InboxChange> =
+        store.watch(keys.inbox, revision, WATCH_MILLIS.milliseconds).map { change ->
+            InboxChange(
+                jobs = change.items.filter { keys.jobOf(it.key) != null }.mapNotNull(::jobOf),
+                cancelled = change.items.mapNotNull { keys.cancelledOf(it.key) },
+                revision = change.revision,
+            )
+        }
+
+    /** Deletes all records of the finished [jobs]. */
+    suspend fun forget(jobs: List<String>, epochRevision: Long) {
+        for (part in jobs.chunked(JOBS_PER_DELETE)) {
+            val deletes = part.flatMap { listOf(keys.job(it), keys.cancellation(it), keys.progress(it)) }
+            store.commit(StoreTransaction(mapOf(keys.epoch to epochRevision), deletes = deletes)).onLeft {
+                logger.event(Level.WARN, "records of old jobs not deleted", "jobs" to part.size, "reason" to it)
+            }
+        }
+    }
+
+    private fun jobOf(e: StoreEntry): JobRecord? = try {
+        documentJson.decodeFromString(JobRecord.serializer(), e.value.decodeToString())
+    } catch (x: IllegalArgumentException) {
+        logger.event(Level.ERROR, "job record not understood", "key" to e.key, cause = x)
+        null
+    }
+
+    private fun progressOf(e: StoreEntry): ProgressRecord? = try {
+        documentJson.decodeFromString(ProgressRecord.serializer(), e.value.decodeToString())
+    } catch (x: IllegalArgumentException) {
+        logger.event(Level.ERROR, "progress record not understood", "key" to e.key, cause = x)
+        null
+    }
+
+    private fun encode(r: ProgressRecord): ByteArray =
+        documentJson.encodeToString(ProgressRecord.serializer(), r).encodeToByteArray()
+
+    private companion object {
+        /** First pause before a write is repeated; it doubles up to [MAX_RETRY_MILLIS]. */
+        const val RETRY_MILLIS = 20L
+        const val MAX_RETRY_MILLIS = 200L
+
+        /** Entries tell the owner of new jobs; the watch only finds those whose message was lost. */
+        const val WATCH_MILLIS = 2_000L
+
+        /** Three keys for each job in a transaction of 32 entries. */
+        const val JOBS_PER_DELETE = 10
+    }
+}
+
+/** New entries of a shard's inbox. */
+internal class InboxChange(val jobs: List<JobRecord>, val cancelled: List<String>, val revision: Long)
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/protocol/Documents.kt
@@ -0,0 +1,13 @@
+package org.camphorhall.scheduler.protocol
+
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.json.Json
+import org.camphorhall.wire.proto.Document
+
+/** JSON of messages between our processes and of our records in the store. Unknown fields are of a later version. */
+internal val documentJson = Json { ignoreUnknownKeys = true }
+
+internal fun <T> documentOf(type: KSerializer<T>, value: T): Document =
+    Document.newBuilder().setBody(documentJson.encodeToString(type, value)).build()
+
+internal fun <T> Document.decode(type: KSerializer<T>): T = documentJson.decodeFromString(type, body)
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/protocol/OwnerMessage.kt
@@ -0,0 +1,21 @@
+package org.camphorhall.scheduler.protocol
+
+import kotlinx.serialization.Serializable
+import org.camphorhall.core.jobs.Order
+import org.camphorhall.core.jobs.TaskRef
+import org.camphorhall.core.jobs.TaskTraits
+
+/** What the owner of a shard sends to an agent. */
+@Serializable
+internal class OwnerMessage(
+    val epoch: Long,
+    /** [AgentMessage.sentAt] of the message that this one answers. */
+    val answers: Long? = null,
+    /** How long the worker may run on, counted from [answers], in milliseconds; 0 grants nothing. */
+    val leaseMillis: Long = 0,
+    val orders: List<Order> = emptyList(),
+    /** All ends up to this number are stored. */
+    val endsStored: Long? = null,
+    /** Traits of the tasks on the worker, for an agent that may have restarted. */
+    val traits: Map<TaskRef, TaskTraits> = emptyMap(),
+)
--- a/wire/src/main/java/org/camphorhall/wire/proto/Camphorhall.java
+++ b/wire/src/main/java/org/camphorhall/wire/proto/Camphorhall.java
@@ -160,6 +160,11 @@
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_camphorhall_v1_PingReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_camphorhall_v1_Document_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_camphorhall_v1_Document_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -263,29 +268,33 @@
       "d\030\001 \001(\005\022\017\n\007command\030\002 \001(\t\"B\n\nShardReply\022\r" +
       "\n\005owner\030\001 \001(\010\022\016\n\006answer\030\002 \001(\t\022\025\n\rowner_a" +
       "ddress\030\003 \001(\t\"\r\n\013PingRequest\"\013\n\tPingReply" +
-      "*\270\001\n\014AttemptState\022\023\n\017ATTEMPT_UNKNOWN\020\000\022\023" +
-      "\n\017ATTEMPT_RUNNING\020\001\022\024\n\020ATTEMPT_FINISHED\020" +
-      "\002\022\022\n\016ATTEMPT_FAILED\020\003\022\023\n\017ATTEMPT_STOPPED" +
-      "\020\004\022\023\n\017ATTEMPT_REFUSED\020\005\022\024\n\020ATTEMPT_START" +
-      "ING\020\006\022\024\n\020ATTEMPT_STOPPING\020\0072\262\003\n\005Agent\022G\n" +
-      "\007Execute\022\036.camphorhall.v1.ExecuteRequest" +
-      "\032\034.camphorhall.v1.ExecuteReply\022J\n\010Withdr" +
-      "aw\022\037.camphorhall.v1.WithdrawRequest\032\035.ca" +
-      "mphorhall.v1.WithdrawReply\022G\n\007Command\022\036." +
-      "camphorhall.v1.CommandRequest\032\034.camphorh" +
-      "all.v1.CommandReply\022H\n\013OfferConfig\022\034.cam" +
-      "phorhall.v1.ConfigUpdate\032\033.camphorhall.v" +
-      "1.ConfigState\022A\n\005Leave\022\034.camphorhall.v1." +
-      "LeaveRequest\032\032.camphorhall.v1.LeaveReply" +
-      "\022>\n\004Ping\022\033.camphorhall.v1.PingRequest\032\031." +
-      "camphorhall.v1.PingReply2\345\001\n\005Entry\022M\n\tHe" +
-      "artbeat\022 .camphorhall.v1.HeartbeatReques" +
-      "t\032\036.camphorhall.v1.HeartbeatReply\022H\n\010Exc" +
-      "hange\022\035.camphorhall.v1.DomainSummary\032\035.c" +
-      "amphorhall.v1.DomainSummary\022C\n\007Forward\022\034" +
-      ".camphorhall.v1.ShardCommand\032\032.camphorha" +
-      "ll.v1.ShardReplyB\036\n\032org.camphorhall.wire" +
-      ".protoP\001b\006proto3"
+      "\"\030\n\010Document\022\014\n\004body\030\001 \001(\t*\270\001\n\014AttemptSt" +
+      "ate\022\023\n\017ATTEMPT_UNKNOWN\020\000\022\023\n\017ATTEMPT_RUNN" +
+      "ING\020\001\022\024\n\020ATTEMPT_FINISHED\020\002\022\022\n\016ATTEMPT_F" +
+      "AILED\020\003\022\023\n\017ATTEMPT_STOPPED\020\004\022\023\n\017ATTEMPT_" +
+      "REFUSED\020\005\022\024\n\020ATTEMPT_STARTING\020\006\022\024\n\020ATTEM" +
+      "PT_STOPPING\020\0072\262\003\n\005Agent\022G\n\007Execute\022\036.cam" +
+      "phorhall.v1.ExecuteRequest\032\034.camphorhall" +
+      ".v1.ExecuteReply\022J\n\010Withdraw\022\037.camphorha" +
+      "ll.v1.WithdrawRequest\032\035.camphorhall.v1.W" +
+      "ithdrawReply\022G\n\007Command\022\036.camphorhall.v1" +
+      ".CommandRequest\032\034.camphorhall.v1.Command" +
+      "Reply\022H\n\013OfferConfig\022\034.camphorhall.v1.Co" +
+      "nfigUpdate\032\033.camphorhall.v1.ConfigState\022" +
+      "A\n\005Leave\022\034.camphorhall.v1.LeaveRequest\032\032" +
+      ".camphorhall.v1.LeaveReply\022>\n\004Ping\022\033.cam" +
+      "phorhall.v1.PingRequest\032\031.camphorhall.v1" +
+      ".PingReply2\345\001\n\005Entry\022M\n\tHeartbeat\022 .camp" +
+      "horhall.v1.HeartbeatRequest\032\036.camphorhal" +
+      "l.v1.HeartbeatReply\022H\n\010Exchange\022\035.campho" +
+      "rhall.v1.DomainSummary\032\035.camphorhall.v1." +
+      "DomainSummary\022C\n\007Forward\022\034.camphorhall.v" +
+      "1.ShardCommand\032\032.camphorhall.v1.ShardRep" +
+      "ly2\210\001\n\tScheduler\022@\n\006Attach\022\030.camphorhall" +
+      ".v1.Document\032\030.camphorhall.v1.Document(\001" +
+      "0\001\0229\n\003Ask\022\030.camphorhall.v1.Document\032\030.ca" +
+      "mphorhall.v1.DocumentB\036\n\032org.camphorhall" +
+      ".wire.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -465,6 +474,12 @@
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_camphorhall_v1_PingReply_descriptor,
         new java.lang.String[] { });
+    internal_static_camphorhall_v1_Document_descriptor =
+      getDescriptor().getMessageTypes().get(27);
+    internal_static_camphorhall_v1_Document_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_camphorhall_v1_Document_descriptor,
+        new java.lang.String[] { "Body", });
   }
 
   // @@protoc_insertion_point(outer_class_scope)
