--- a/core/src/main/kotlin/org/camphorhall/core/jobs/BackfillThrottle.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/BackfillThrottle.kt
@@ -7,7 +7,13 @@
  * figures of a worker cover half a second, so that one step for each figure is enough.
  */
 public class BackfillThrottle {
-    private var percent = FULL
+    /** Share of the processors that backfill tasks may use, in percent. */
+    public var percent: Int = FULL
+        private set
+
+    /** Greatest tail latency as a part of its target, by the last figures. */
+    public var pressure: Double = 0.0
+        private set
     private var steppedAt: Long? = null
     private val applied = HashMap<Pair<TaskRef, Int>, Int>()
 
@@ -16,7 +22,7 @@
 
     /** Returns the shares to change, given what the worker runs at [now] (milliseconds of a steady clock). */
     public fun decide(running: List<AttemptRow>, traits: Map<TaskRef, TaskTraits>, now: Long): List<Share> {
-        val pressure = running.filter { it.percent == FULL }.mapNotNull { row ->
+        pressure = running.filter { it.percent == FULL }.mapNotNull { row ->
             traits[row.task]?.latencyTargetMillis?.let { row.load.toDouble() / it }
         }.maxOrNull() ?: 0.0
         val last = steppedAt
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
@@ -78,6 +78,23 @@
     /** Number of jobs that have not ended. */
     public val activeJobs: Int get() = jobs.values.count { !it.phase.isFinal }
 
+    /** What the shard holds at [now], for logs and metrics. */
+    public fun summary(now: Long): ShardSummary {
+        val usable = workers.values.filter { it.canTakeWork(now, settings.silentMillis) }
+        val active = jobs.values.filter { !it.phase.isFinal }
+        return ShardSummary(
+            workers = workers.size,
+            usableWorkers = usable.size,
+            activeJobs = active.size,
+            waitingJobs = active.count { it.phase == JobPhase.Queued },
+            runningTasks = workers.values.sumOf { it.assigned.size },
+            cpuMillis = usable.sumOf { it.profile.capacity.cpuMillis },
+            reservedCpuMillis = usable.sumOf { it.reserved.cpuMillis },
+            backfillCpuMillis = usable.sumOf { it.backfillCpu },
+            unsavedJobs = unsaved.size,
+        )
+    }
+
     /** Takes a report that came on connection [session], a number that no earlier connection had. */
     public fun report(session: Long, report: WorkerReport, now: Long) {
         val key = report.profile.key
--- /dev/null
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ShardSummary.kt
@@ -0,0 +1,15 @@
+package org.camphorhall.core.jobs
+
+/** Counts of a [JobShard] at one moment. Processors are in thousandths of a core and of usable workers only. */
+public data class ShardSummary(
+    val workers: Int,
+    val usableWorkers: Int,
+    val activeJobs: Int,
+    val waitingJobs: Int,
+    val runningTasks: Int,
+    val cpuMillis: Long,
+    val reservedCpuMillis: Long,
+    val backfillCpuMillis: Long,
+    /** Jobs whose present state is not stored yet. */
+    val unsavedJobs: Int,
+)
--- /dev/null
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/JobShardAttemptsTest.kt
@@ -0,0 +1,193 @@
+package org.camphorhall.core.jobs
+
+import org.camphorhall.core.jobs.ShardHarness.Companion.JOB
+import org.camphorhall.core.jobs.ShardHarness.Companion.end
+import org.camphorhall.core.jobs.ShardHarness.Companion.profile
+import org.camphorhall.core.jobs.ShardHarness.Companion.record
+import org.camphorhall.core.jobs.ShardHarness.Companion.step
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+
+/** How attempts start, end and are given up. */
+internal class JobShardAttemptsTest {
+    private val h = ShardHarness()
+
+    /** Guards against a start that a later owner would not know of. */
+    @Test
+    fun `a start is ordered only after its record is stored`() {
+        h.report(1)
+        h.shard.accept(record(listOf(step(1))), h.now)
+        h.settle(isStoreUp = false)
+        expectThat(h.starts).isEmpty()
+        h.settle()
+        expectThat(h.starts).hasSize(1)
+        expectThat(h.records.getValue(JOB).tasks).containsExactly("0,0,0,1,0,0,0,")
+    }
+
+    /** Guards against an end that is forgotten by its worker before it is stored. */
+    @Test
+    fun `an end is acknowledged only after it is stored`() {
+        h.report(1)
+        h.shard.accept(record(listOf(step(1))), h.now)
+        h.settle()
+        val o = h.starts.single().second
+        val report = WorkerReport(profile(1), ended = listOf(end(1, o, EndCause.Done)), ordersDone = 1)
+        h.shard.report(1, report, h.now)
+        h.settle(isStoreUp = false)
+        expectThat(h.acknowledged[1]).isEqualTo(0)
+        expectThat(h.shard.phaseOf(JOB)).isEqualTo(JobPhase.Running)
+        h.settle()
+        expectThat(h.acknowledged[1]).isEqualTo(1)
+        expectThat(h.shard.phaseOf(JOB)).isEqualTo(JobPhase.Completed)
+    }
+
+    /** Guards against tasks that start before the steps that they follow are done. */
+    @Test
+    fun `a step waits for the steps before it`() {
+        h.report(1)
+        h.shard.accept(record(listOf(step(2), step(1, after = listOf(0)))), h.now)
+        h.settle()
+        expectThat(h.starts.map { it.second.task.step }).containsExactly(0, 0)
+        val ends = h.starts.mapIndexed { i, (_, o) -> end(i + 1L, o, EndCause.Done) }
+        h.report(1, running = h.rows(1).drop(1), ended = ends.take(1))
+        expectThat(h.starts).hasSize(2)
+        h.report(1, running = emptyList(), ended = ends)
+        expectThat(h.starts.map { it.second.task.step }).containsExactly(0, 0, 1)
+    }
+
+    private class EndCase(val cause: EndCause, val restarts: Boolean, val failures: Int)
+
+    private val endCases = mapOf(
+        "stopped" to EndCase(EndCause.Stopped, restarts = true, failures = 0),
+        "lease expired" to EndCase(EndCause.LeaseExpired, restarts = true, failures = 0),
+        "failed" to EndCase(EndCause.Failed, restarts = true, failures = 1),
+        "done" to EndCase(EndCause.Done, restarts = false, failures = 0),
+    )
+
+    /** Guards against attempts that are lost, repeated after success, or counted as failures without being ones. */
+    @Test
+    fun `each cause of an end has its effect`() {
+        for ((name, case) in endCases) {
+            val h = ShardHarness()
+            h.report(1)
+            h.shard.accept(record(listOf(step(1))), h.now)
+            h.settle()
+            val o = h.starts.single().second
+            h.report(1, running = emptyList(), ended = listOf(end(1, o, case.cause, "saved")))
+            expectThat(h.starts.drop(1).map { it.second.attempt to it.second.checkpoint }).describedAs(name)
+                .isEqualTo(if (case.restarts) listOf(2 to "saved") else emptyList())
+            expectThat(h.records.getValue(JOB).tasks.single().split(',')[5]).describedAs(name)
+                .isEqualTo("${case.failures}")
+        }
+    }
+
+    /** Guards against more failed attempts than the operators allow, and against work of a failed job that runs on. */
+    @Test
+    fun `a job fails after the last allowed attempt and its other tasks stop`() {
+        h.report(1)
+        h.shard.accept(record(listOf(step(2)), maxAttempts = 2), h.now)
+        h.settle()
+        val (a, b) = h.starts.map { it.second }
+        h.report(1, running = listOf(AttemptRow(b.task, 1)), ended = listOf(end(1, a, EndCause.Failed)))
+        val again = h.starts.last().second
+        h.report(1, running = listOf(AttemptRow(b.task, 1)), ended = listOf(end(2, again, EndCause.Failed)))
+        expectThat(h.shard.phaseOf(JOB)).isEqualTo(JobPhase.Failed)
+        expectThat(h.starts).hasSize(3)
+        expectThat(h.stops.map { it.second.task }).containsExactly(b.task)
+    }
+
+    /** Guards against a second attempt while the first may still run. */
+    @Test
+    fun `work of a silent worker is placed again only after its lease`() {
+        h.report(1)
+        h.shard.accept(record(listOf(step(1))), h.now)
+        h.settle()
+        h.report(1)
+        h.shard.detach(1)
+        h.report(2, running = emptyList())
+        h.tick(3_200)
+        h.report(2, running = emptyList())
+        expectThat(h.starts).hasSize(1)
+        h.tick(200)
+        expectThat(h.starts.map { it.first to it.second.attempt }).containsExactly(1L to 1, 2L to 2)
+    }
+
+    /** Guards against an attempt that was never carried out and is waited for without end. */
+    @Test
+    fun `an attempt that is not in the list after its order is lost`() {
+        h.report(1)
+        h.shard.accept(record(listOf(step(1))), h.now)
+        h.settle()
+        h.report(1, running = emptyList(), ordersDone = 0)
+        expectThat(h.starts).hasSize(1)
+        h.report(1, running = emptyList(), ordersDone = 1)
+        expectThat(h.starts.map { it.second.attempt }).containsExactly(1, 2)
+    }
+
+    /** Guards against work that stays tied to an ended life of a worker. */
+    @Test
+    fun `a new life of a worker ends what ran on the earlier one`() {
+        h.report(1)
+        h.shard.accept(record(listOf(step(1))), h.now)
+        h.settle()
+        h.report(1, session = 2, running = emptyList(), ordersDone = 0) { it.copy(profile = profile(1, life = 2)) }
+        expectThat(h.starts.map { it.first to it.second.attempt }).containsExactly(1L to 1, 2L to 2)
+    }
+
+    /** Guards against runs that nobody asked for, for example of a cancelled job after a lost connection. */
+    @Test
+    fun `an attempt that the shard does not know is stopped`() {
+        h.report(1, running = listOf(AttemptRow(TaskRef("00000000000000bb", 0, 0, 0), 7)))
+        expectThat(h.stops.map { it.second.attempt }).containsExactly(7)
+    }
+
+    /** Guards against tasks of a cancelled job that start or run on. */
+    @Test
+    fun `a cancelled job stops its tasks and starts none`() {
+        h.report(1)
+        h.shard.accept(record(listOf(step(2), step(1, after = listOf(0)))), h.now)
+        h.settle()
+        h.shard.cancel(JOB, h.now)
+        h.settle()
+        expectThat(h.stops).hasSize(2)
+        val ends = h.starts.mapIndexed { i, (_, o) -> end(i + 1L, o, EndCause.Stopped) }
+        h.report(1, running = emptyList(), ended = ends)
+        expectThat(h.starts).hasSize(2)
+        expectThat(h.shard.phaseOf(JOB)).isEqualTo(JobPhase.Cancelled)
+    }
+
+    /** Guards against a cancellation that overtakes the record of a start. */
+    @Test
+    fun `a start whose record is not stored yet is dropped by a cancellation`() {
+        h.report(1)
+        h.shard.accept(record(listOf(step(1))), h.now)
+        h.settle(isStoreUp = false)
+        h.shard.cancel(JOB, h.now)
+        h.settle()
+        expectThat(h.starts).isEmpty()
+    }
+
+    /** Guards against new work on a worker that is about to leave. */
+    @Test
+    fun `a draining worker gets no work`() {
+        h.report(1) { it.copy(profile = profile(1, draining = true)) }
+        h.shard.accept(record(listOf(step(1))), h.now)
+        h.settle()
+        expectThat(h.starts).isEmpty()
+    }
+
+    /** Guards against a start that was decided before the worker began to drain. */
+    @Test
+    fun `a worker that drains while the record is written gets no order`() {
+        h.report(1)
+        h.shard.accept(record(listOf(step(1))), h.now)
+        h.settle(isStoreUp = false)
+        h.shard.report(1, WorkerReport(profile(1, draining = true)), h.now)
+        h.settle()
+        expectThat(h.starts).isEmpty()
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/PlacementTest.kt
@@ -0,0 +1,105 @@
+package org.camphorhall.core.jobs
+
+import org.camphorhall.core.jobs.ShardHarness.Companion.end
+import org.camphorhall.core.jobs.ShardHarness.Companion.record
+import org.camphorhall.core.jobs.ShardHarness.Companion.step
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactlyInAnyOrder
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+
+/** Where tasks may start. */
+internal class PlacementTest {
+    private class Case(val step: StepSpec, val started: Int, val perWorker: Int? = null)
+
+    // Two workers with 10 processors each; worker 1 is on rack-1, worker 2 on rack-0.
+    private val cases = mapOf(
+        "processors bound the tasks" to Case(step(9, cpu = 3_000), started = 6, perWorker = 3),
+        "memory bounds the tasks" to Case(step(9).copy(demand = step(1).demand.copy(memoryMib = 4_000)), started = 4),
+        "a task too large waits" to Case(step(1, cpu = 11_000), started = 0),
+        "a label that no worker has" to Case(step(1).copy(requiredLabel = "b"), started = 0),
+        "a label that both have" to Case(step(1).copy(requiredLabel = "a"), started = 1),
+        "at most one on a worker" to Case(step(5).copy(maxPerWorker = 1), started = 2, perWorker = 1),
+        "backfill is bounded by idle processors" to Case(step(9, cpu = 4_000).copy(backfill = true), started = 4),
+        "a large backfill task runs alone" to Case(step(3, cpu = 15_000).copy(backfill = true), started = 2),
+        "a gang that fits" to Case(step(4, cpu = 5_000).copy(gang = true), started = 4),
+        "a gang that does not fit waits whole" to Case(step(5, cpu = 5_000).copy(gang = true), started = 0),
+        "a gang of one rack" to Case(step(3, cpu = 5_000).copy(gang = true, singleRack = true), started = 0),
+    )
+
+    /** Guards against work beyond the capacity or against the rules of its step. */
+    @Test
+    fun `tasks start only where they may`() {
+        for ((name, case) in cases) {
+            val h = ShardHarness()
+            h.report(1)
+            h.report(2)
+            h.shard.accept(record(listOf(case.step)), h.now)
+            h.settle()
+            expectThat(h.starts).describedAs(name).hasSize(case.started)
+            case.perWorker?.let { n ->
+                expectThat(h.starts.groupBy { it.first }.values.maxOf { it.size }).describedAs(name).isEqualTo(n)
+            }
+        }
+    }
+
+    /** Guards against members of a gang that have different attempt numbers. */
+    @Test
+    fun `a gang restarts whole with one number`() {
+        val h = ShardHarness()
+        h.report(1)
+        h.shard.accept(record(listOf(step(2).copy(gang = true))), h.now)
+        h.settle()
+        val (a, b) = h.starts.map { it.second }
+        h.report(1, running = listOf(AttemptRow(b.task, 1)), ended = listOf(end(1, a, EndCause.LeaseExpired)))
+        expectThat(h.starts).hasSize(2)
+        h.report(
+            1,
+            running = emptyList(),
+            ended = listOf(end(1, a, EndCause.LeaseExpired), end(2, b, EndCause.GangBroken)),
+        )
+        expectThat(h.starts.drop(2).map { it.second.attempt }).containsExactlyInAnyOrder(2, 2)
+    }
+
+    /** Guards against short urgent work that waits behind long work. */
+    @Test
+    fun `classes with a higher priority go first`() {
+        val h = ShardHarness()
+        h.shard.accept(record(listOf(step(1, cpu = 10_000)), id = "00000000000000b1").withPriority(2), h.now)
+        h.shard.accept(record(listOf(step(1, cpu = 10_000)), id = "00000000000000b2").withPriority(0), h.now)
+        h.report(1)
+        expectThat(h.starts.map { it.second.task.job }).isEqualTo(listOf("00000000000000b2"))
+    }
+
+    /** Guards against occurrences that start before they are due. */
+    @Test
+    fun `an occurrence waits for its time`() {
+        val h = ShardHarness()
+        h.report(1)
+        h.shard.accept(record(listOf(step(1)), repeat = Repeat(2, h.now + 500, 1_000)), h.now)
+        h.settle()
+        expectThat(h.starts).isEmpty()
+        h.tick(500)
+        expectThat(h.starts.map { it.second.task.occurrence }).isEqualTo(listOf(0))
+        h.tick(1_000)
+        h.report(1)
+        expectThat(h.starts.map { it.second.task.occurrence }).isEqualTo(listOf(0, 1))
+    }
+
+    /** Guards against a second failure on the worker that failed the task. */
+    @Test
+    fun `a failed task moves to another worker`() {
+        val h = ShardHarness()
+        h.report(1)
+        h.report(2)
+        h.shard.accept(record(listOf(step(1))), h.now)
+        h.settle()
+        val (session, o) = h.starts.single()
+        h.report(session.toInt(), running = emptyList(), ended = listOf(end(1, o, EndCause.Failed)))
+        expectThat(h.starts.map { it.first }.toSet()).containsExactlyInAnyOrder(1, 2)
+    }
+
+    private fun JobRecord.withPriority(p: Int) = copy(jobClass = jobClass.copy(id = "class-$p", priority = p))
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/ShardHarness.kt
@@ -0,0 +1,99 @@
+package org.camphorhall.core.jobs
+
+import org.camphorhall.core.model.Resources
+
+/** Drives a [JobShard] whose store always answers, with workers that do what they are told. */
+internal class ShardHarness(settings: JobShardSettings = JobShardSettings()) {
+    val shard = JobShard(settings)
+    var now = 1_000L
+    val starts = mutableListOf<Pair<Long, Order.Start>>()
+    val stops = mutableListOf<Pair<Long, Order.Stop>>()
+    val acknowledged = mutableMapOf<Long, Long>()
+    val records = linkedMapOf<String, ProgressRecord>()
+    private var revision = 0L
+
+    /** Carries out what the shard wants until nothing is left. */
+    fun settle(isStoreUp: Boolean = true) {
+        shard.place(now, now)
+        do {
+            take()
+            val commit = if (isStoreUp) shard.nextCommit() else null
+            if (commit != null) {
+                revision++
+                commit.writes.forEach { records[it.job] = it.record }
+                shard.committed(commit, revision, now)
+            }
+        } while (commit != null)
+        take()
+    }
+
+    fun tick(millis: Long) {
+        now += millis
+        shard.tick(now, now)
+        settle()
+    }
+
+    /** Reports worker [n] on connection [session]; by default it runs what was ordered. */
+    fun report(
+        n: Int,
+        session: Long = n.toLong(),
+        running: List<AttemptRow> = rows(session),
+        ended: List<AttemptEnd> = emptyList(),
+        ordersDone: Long = orders(session),
+        change: (WorkerReport) -> WorkerReport = { it },
+    ) {
+        shard.report(
+            session,
+            change(WorkerReport(profile(n), running, ended, ordersDone = ordersDone, leaseLeftMillis = 3_000)),
+            now,
+        )
+        settle()
+    }
+
+    /** Rows of all attempts that were ordered on [session] and not stopped. */
+    fun rows(session: Long): List<AttemptRow> = starts.filter { it.first == session }
+        .filter { (_, o) -> stops.none { it.second.task == o.task && it.second.attempt == o.attempt } }
+        .map { (_, o) -> AttemptRow(o.task, o.attempt) }
+
+    private fun orders(session: Long): Long =
+        (starts + stops).filter { it.first == session }.maxOfOrNull { it.second.number } ?: 0
+
+    private fun take() {
+        for (o in shard.takeOutputs()) {
+            when (o) {
+                is ShardOutput.Send -> when (val order = o.order) {
+                    is Order.Start -> starts += o.session to order
+                    is Order.Stop -> stops += o.session to order
+                }
+                is ShardOutput.AcknowledgeEnds -> acknowledged[o.session] = o.number
+                is ShardOutput.Note -> Unit
+            }
+        }
+    }
+
+    companion object {
+        const val JOB = "00000000000000aa"
+
+        fun profile(n: Int, life: Long = 1, draining: Boolean = false) = WorkerProfile(
+            WorkerKey("instance-$n", "worker-$n", life),
+            "service",
+            "zone",
+            Resources(10_000, 10_000),
+            listOf("a", "rack-${n % 2}"),
+            draining,
+        )
+
+        fun record(steps: List<StepSpec>, id: String = JOB, maxAttempts: Int = 2, repeat: Repeat? = null) = JobRecord(
+            id,
+            JobSpec("payload", steps, repeat),
+            JobClass("class", "service", 0, maxAttempts, 1.5, 250, 3_000),
+            acceptedAtMillis = 0,
+        )
+
+        fun step(tasks: Int, cpu: Long = 1_000, after: List<Int> = emptyList()) =
+            StepSpec(tasks, Resources(cpu, 100), estimateMillis = 1_000, after = after)
+
+        fun end(number: Long, o: Order.Start, cause: EndCause, checkpoint: String = "") =
+            AttemptEnd(number, o.task, o.attempt, cause, checkpoint)
+    }
+}
--- /dev/null
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetCommand.kt
@@ -0,0 +1,50 @@
+package org.camphorhall.dev.fleet
+
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.multiple
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.long
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.camphorhall.dev.ServerCommand
+import org.camphorhall.dev.http.TestServer
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Runs the key-value service and workers as the users' platform publishes them. */
+internal class FleetCommand : ServerCommand("fleet") {
+    private val service by option(help = "service of the workers").default("service-1")
+    private val cpu by option(help = "processors of a worker, in thousandths of a core").long().default(64_000)
+    private val agents by option("--agent", help = "heartbeat address of an agent; one worker runs beside each").multiple()
+
+    override fun help(context: Context): String = "Runs the users' key-value service, with a worker for each agent."
+
+    override suspend fun start(): Started {
+        val scope = CoroutineScope(Dispatchers.Default)
+        val store = FleetStoreService()
+        val server = TestServer.start(host, port, store.faults) { store.define(this) }
+        scope.launch {
+            while (true) {
+                delay(EXPIRY_PERIOD)
+                store.tick()
+            }
+        }
+        val workers = agents.mapIndexed { i, agent ->
+            val worker = FleetWorkerService("worker-$i", service, cpu)
+            val workerServer = TestServer.start(host, 0, worker.faults) { worker.define(this) }
+            scope.launch { worker.announce(agent, "$host:${workerServer.port}") }
+            workerServer
+        }
+        val ports = workers.mapIndexed { i, w -> ",\"worker$i\":${w.port}" }.joinToString("")
+        return Started(server.port, ports) {
+            server.stop()
+            workers.forEach { it.stop() }
+        }
+    }
+
+    private companion object {
+        val EXPIRY_PERIOD = 50.milliseconds
+    }
+}
--- /dev/null
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerState.kt
@@ -0,0 +1,76 @@
+package org.camphorhall.dev.fleet
+
+/** What a worker of the users' platform runs. Times are milliseconds of its own clock. Not safe for concurrent use. */
+internal class FleetWorkerState(private val cpuCapacity: Long) {
+    /** One task that runs. Its work is done after [runMillis]. */
+    class Run(val task: String, val run: Int, val runMillis: Long, val cpu: Long, val startedAt: Long)
+
+    /** One end, as it is listed. */
+    class End(val number: Long, val task: String, val run: Int, val cause: String)
+
+    val running = LinkedHashMap<String, Run>()
+    val ended = mutableListOf<End>()
+
+    /** Every start, in order: the task, its run and the time. */
+    val starts = mutableListOf<Triple<String, Int, Long>>()
+    private val highestRun = HashMap<String, Int>()
+    private var leaseUntil = 0L
+    private var token = 0L
+    private var lastEnd = 0L
+
+    /** Whether a call with [given] is refused because of a greater token. */
+    fun isFenced(given: Long): Boolean {
+        if (given < token) return true
+        token = given
+        return false
+    }
+
+    fun extend(until: Long) {
+        leaseUntil = maxOf(leaseUntil, until)
+    }
+
+    /** Starts a run; returns the reason of a refusal, or null. */
+    fun start(task: String, run: Int, runMillis: Long, cpu: Long, now: Long): String? {
+        expire(now)
+        if (running[task]?.run == run) return null
+        return when {
+            run <= (highestRun[task] ?: 0) -> "old"
+            leaseUntil <= now -> "late"
+            running.values.sumOf { it.cpu } + cpu > cpuCapacity -> "room"
+            else -> {
+                highestRun[task] = run
+                running[task] = Run(task, run, runMillis, cpu, now)
+                starts += Triple(task, run, now)
+                null
+            }
+        }
+    }
+
+    fun stop(task: String, run: Int, now: Long) {
+        expire(now)
+        highestRun[task] = maxOf(highestRun[task] ?: 0, run)
+        if (running[task]?.run == run) end(task, "stopped")
+    }
+
+    /** Ends what is done, and everything when the lease has expired. */
+    fun expire(now: Long) {
+        running.values.filter { it.runMillis >= 0 && now - it.startedAt >= it.runMillis }.forEach { end(it.task, "done") }
+        if (now >= leaseUntil) running.keys.toList().forEach { end(it, "lapsed") }
+    }
+
+    fun forget(upTo: Long) {
+        ended.removeAll { it.number <= upTo }
+    }
+
+    fun percent(run: Run, now: Long): Int =
+        if (run.runMillis <= 0) FULL else ((now - run.startedAt) * FULL / run.runMillis).toInt().coerceAtMost(FULL - 1)
+
+    private fun end(task: String, cause: String) {
+        val run = running.remove(task) ?: return
+        ended += End(++lastEnd, task, run.run, cause)
+    }
+
+    private companion object {
+        const val FULL = 100
+    }
+}
--- a/dev/src/main/kotlin/org/camphorhall/dev/store/StoreState.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/store/StoreState.kt
@@ -57,6 +57,29 @@
         return Write.Done(revision)
     }
 
+    /** Applies [writes] and [deletes] as one change if every key of [expected] has its version (0: absent). */
+    fun commit(
+        expected: Map<String, Long>,
+        writes: List<NewEntry>,
+        deletes: List<String>,
+        now: Long,
+    ): Write {
+        expire(now)
+        if (writes.any { it.lease != null && it.lease !in leases }) return Write.NoLease
+        val mismatch = expected.entries.firstOrNull { (k, v) -> (entries[k]?.version ?: 0) != v }
+        if (mismatch != null) return Write.Mismatch(entries[mismatch.key]?.version ?: 0)
+        revision++
+        for (w in writes) {
+            deletions.remove(w.key)
+            entries[w.key] = Entry(w.key, revision, w.value, w.lease)
+        }
+        for (k in deletes) if (entries.remove(k) != null) deletions[k] = revision
+        return Write.Done(revision)
+    }
+
+    /** An entry to write. */
+    class NewEntry(val key: String, val value: ByteArray, val lease: String?)
+
     fun list(prefix: String, now: Long): Changes {
         expire(now)
         return Changes(revision, under(entries, prefix).values.toList(), emptyList())
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
@@ -258,6 +258,15 @@
     /** Adapts the shares of backfill tasks to the latency of the tasks beside them. */
     private suspend fun balance() {
         val (shares, token) = lock.withLock { throttle.decide(running, traits, clock.steady()) to token }
+        if (shares.isNotEmpty()) {
+            logger.event(
+                Level.INFO,
+                "backfill share changes",
+                "percent" to throttle.percent,
+                "pressure" to throttle.pressure,
+                "tasks" to shares.size,
+            )
+        }
         for (s in shares) {
             worker.throttle(s.task, s.attempt, s.percent, token).fold(
                 { logger.event(Level.INFO, "share not set", "task" to s.task, "percent" to s.percent, "reason" to it) },
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/OwnerEvent.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/OwnerEvent.kt
@@ -24,4 +24,6 @@
     class Written(val commit: Commit, val revision: Long?) : OwnerEvent
 
     data object Tick : OwnerEvent
+
+    data object Summarize : OwnerEvent
 }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
@@ -15,6 +15,7 @@
 import org.camphorhall.core.jobs.JobShardSettings
 import org.camphorhall.core.jobs.Order
 import org.camphorhall.core.jobs.ShardOutput
+import org.camphorhall.core.jobs.ShardSummary
 import org.camphorhall.process.event
 import org.camphorhall.scheduler.protocol.OwnerMessage
 import org.camphorhall.scheduler.protocol.Question
@@ -63,6 +64,7 @@
         logger.event(Level.INFO, "shard loaded", "epoch" to epoch, "jobs" to loaded.jobs.size, "grace" to graceMillis)
         launch { followInbox(loaded.revision) }
         launch { tick() }
+        launch { summarize() }
         while (!isLost) {
             handle(events.receive())
             var next = events.tryReceive().getOrNull()
@@ -132,6 +134,31 @@
         }
     }
 
+    private suspend fun summarize() {
+        while (true) {
+            delay(SUMMARY)
+            send(OwnerEvent.Summarize)
+        }
+    }
+
+    private fun logSummary(s: ShardSummary) {
+        logger.event(
+            Level.INFO,
+            "shard summary",
+            "epoch" to epoch,
+            "workers" to s.workers,
+            "usableWorkers" to s.usableWorkers,
+            "activeJobs" to s.activeJobs,
+            "waitingJobs" to s.waitingJobs,
+            "runningTasks" to s.runningTasks,
+            "cpuMillis" to s.cpuMillis,
+            "reservedCpuMillis" to s.reservedCpuMillis,
+            "backfillCpuMillis" to s.backfillCpuMillis,
+            "unsavedJobs" to s.unsavedJobs,
+            "mayGrant" to ownership.mayGrant,
+        )
+    }
+
     private suspend fun handle(e: OwnerEvent) {
         val now = clock.steady()
         when (e) {
@@ -147,6 +174,7 @@
             }
             is OwnerEvent.Configured -> shard.configure(e.classes)
             is OwnerEvent.Written -> written(e, now)
+            OwnerEvent.Summarize -> logSummary(shard.summary(now))
             OwnerEvent.Tick -> {
                 shard.tick(now, clock.wall())
                 val old = shard.expire(now)
@@ -240,6 +268,8 @@
         /** Callers wait for less; an unanswered question belongs to a loop that has ended. */
         val ANSWER_TIMEOUT = 2_000.milliseconds
 
+        val SUMMARY = 2_000.milliseconds
+
         /** Between two looks at expired leases and due jobs. */
         val TICK = 100.milliseconds
 
