--- a/dev/src/main/kotlin/org/camphorhall/dev/Main.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/Main.kt
@@ -7,6 +7,7 @@
 import com.github.ajalt.clikt.core.subcommands
 import org.camphorhall.dev.backend.BackendCommand
 import org.camphorhall.dev.fleet.FleetCommand
+import org.camphorhall.dev.fleet.TrainCommand
 import org.camphorhall.dev.load.LoadCommand
 import org.camphorhall.dev.relay.RelayCommand
 import org.camphorhall.dev.runtime.RuntimeCommand
@@ -20,7 +21,7 @@
     // Standard output carries only the JSON lines and results that tests read.
     (LoggerFactory.getILoggerFactory() as? LoggerContext)?.getLogger("ROOT")?.level = Level.ERROR
     DevCommand()
-        .subcommands(StoreCommand(), RuntimeCommand(), BackendCommand(), LoadCommand(), RelayCommand(), FleetCommand())
+        .subcommands(StoreCommand(), RuntimeCommand(), BackendCommand(), LoadCommand(), RelayCommand(), FleetCommand(), TrainCommand())
         .main(args)
 }
 
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/OrderLedger.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/OrderLedger.kt
@@ -7,6 +7,10 @@
     private val open = sortedSetOf<Long>()
     private var greatest = 0L
 
+    /** Changes with every connection to an owner. */
+    var connection = 0
+        private set
+
     /** Tasks whose start is under way. */
     val starting = HashSet<TaskRef>()
 
@@ -26,5 +30,6 @@
     fun reset() {
         open.clear()
         greatest = 0
+        connection++
     }
 }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
@@ -3,10 +3,12 @@
 import arrow.core.Either
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.github.oshai.kotlinlogging.Level
+import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import org.camphorhall.core.jobs.AttemptEnd
 import org.camphorhall.core.jobs.AttemptRow
@@ -58,6 +60,9 @@
     private var refused = emptyList<Pair<Long, RefusedStart>>()
     private var endsStored = 0L
     private var listedOrders = 0L
+
+    /** Time of the present lists on the worker's clock. */
+    private var listedAt = 0L
     private var answeredAt = 0L
     private var leaseSentUntil = 0L
     private var portClosed = 0
@@ -135,34 +140,42 @@
     fun close(): Unit = worker.close()
 
     private suspend fun look(wait: Duration): WorkerError? {
-        var ordersBefore = 0L
-        var grantedUntil = 0L
         val call = lock.withLock {
-            ordersBefore = orders.doneUpTo
-            grantedUntil = lease.grantedUntil
-            LookCall(token, endsStored, lease.untilOnWorker(clock.steady()))
+            val until = lease.untilOnWorker(clock.steady())
+            if (until != null) leaseSentUntil = maxOf(leaseSentUntil, lease.grantedUntil)
+            LookCall(token, endsStored, until, orders.connection, orders.doneUpTo)
         }
-        if (call.until != null) lock.withLock { leaseSentUntil = maxOf(leaseSentUntil, grantedUntil) }
         return when (val r = worker.hold(call.token, call.endsStored, call.until, wait)) {
-            is Either.Right -> null.also { take(r.value, ordersBefore) }
+            is Either.Right -> null.also { take(r.value, call.connection, call.ordersBefore) }
             is Either.Left -> r.value.also { noteError(it) }
         }
     }
 
-    private class LookCall(val token: Long, val endsStored: Long, val until: Long?)
+    private class LookCall(
+        val token: Long,
+        val endsStored: Long,
+        val until: Long?,
+        val connection: Int,
+        /** Orders that were carried out before the call. */
+        val ordersBefore: Long,
+    )
 
-    private suspend fun take(lists: WorkerLists, ordersBefore: Long) {
+    private suspend fun take(lists: WorkerLists, connection: Int, ordersBefore: Long) {
         val now = clock.steady()
         val isNews = lock.withLock {
             if (answeredAt != 0L && now - answeredAt >= SILENT_MILLIS) logger.event(Level.INFO, "worker answers again")
             answeredAt = now
             portClosed = 0
+            // Answers on different connections may overtake each other; an older list says nothing new.
+            val upTo = if (connection == orders.connection) ordersBefore else 0
+            if (lists.time.millis < listedAt || lists.time.millis == listedAt && upTo < listedOrders) return@withLock false
+            listedAt = lists.time.millis
             lease.noteClock(lists.time.millis, now)
-            val isNews = lists.ended.any { it.number > endsStored } || listedOrders != ordersBefore ||
+            val isNews = lists.ended.any { it.number > endsStored } || upTo > listedOrders ||
                 lists.running.size != running.size
             running = lists.running
             ended = lists.ended
-            listedOrders = maxOf(listedOrders, ordersBefore.coerceAtMost(orders.doneUpTo))
+            listedOrders = maxOf(listedOrders, upTo)
             traits.keys.retainAll { it in orders.starting || running.any { row -> row.task == it } }
             isNews
         }
@@ -197,13 +210,16 @@
             refuse(order, if (profile.draining) "worker drains" else "no lease")
             return
         }
-        when (val answer = worker.start(call)) {
-            StartAnswer.Started -> Unit
-            is StartAnswer.Refused -> refuse(order, answer.reason)
-            StartAnswer.Fenced -> refuse(order, "fenced")
-            is StartAnswer.Unknown -> settle(order, answer.detail)
+        try {
+            when (val answer = worker.start(call)) {
+                StartAnswer.Started -> Unit
+                is StartAnswer.Refused -> refuse(order, answer.reason)
+                StartAnswer.Fenced -> refuse(order, "fenced")
+                is StartAnswer.Unknown -> settle(order, answer.detail)
+            }
+        } finally {
+            withContext(NonCancellable) { lock.withLock { orders.starting -= order.task } }
         }
-        lock.withLock { orders.starting -= order.task }
     }
 
     /** A start without an answer may be carried out later. A greater token rules that out; the lists then tell. */
--- /dev/null
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/ScriptedWorker.kt
@@ -0,0 +1,52 @@
+package org.camphorhall.scheduler.agent
+
+import arrow.core.Either
+import arrow.core.right
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.channels.Channel
+import org.camphorhall.core.jobs.TaskRef
+import org.camphorhall.platform.worker.StartAnswer
+import org.camphorhall.platform.worker.StartCall
+import org.camphorhall.platform.worker.TaskWorker
+import org.camphorhall.platform.worker.WorkerError
+import org.camphorhall.platform.worker.WorkerLists
+import org.camphorhall.platform.worker.WorkerTime
+import kotlin.time.Duration
+
+/** A worker whose answers a test gives one by one. */
+internal class ScriptedWorker : TaskWorker {
+    /** A call that waits for its answer. */
+    class Hold(val token: Long, val lastEnd: Long, val leaseUntil: Long?, val wait: Duration) {
+        val answer = CompletableDeferred<Either<WorkerError, WorkerLists>>()
+    }
+
+    /** A start that waits for its answer. */
+    class Start(val call: StartCall) {
+        val answer = CompletableDeferred<StartAnswer>()
+    }
+
+    val holds = Channel<Hold>(Channel.UNLIMITED)
+    val starts = Channel<Start>(Channel.UNLIMITED)
+    val shares = mutableListOf<Pair<TaskRef, Int>>()
+
+    override suspend fun start(call: StartCall): StartAnswer = Start(call).also { starts.send(it) }.answer.await()
+
+    override suspend fun stop(task: TaskRef, attempt: Int, token: Long): Either<WorkerError, WorkerTime> =
+        WorkerTime(0).right()
+
+    override suspend fun hold(
+        token: Long,
+        lastEnd: Long,
+        leaseUntil: Long?,
+        wait: Duration,
+    ): Either<WorkerError, WorkerLists> = Hold(token, lastEnd, leaseUntil, wait).also { holds.send(it) }.answer.await()
+
+    override suspend fun throttle(
+        task: TaskRef,
+        attempt: Int,
+        percent: Int,
+        token: Long,
+    ): Either<WorkerError, WorkerTime> = WorkerTime(0).right().also { shares += task to percent }
+
+    override fun close() = Unit
+}
--- /dev/null
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/WorkerLinkTest.kt
@@ -0,0 +1,143 @@
+package org.camphorhall.scheduler.agent
+
+import arrow.core.Either
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runCurrent
+import kotlinx.coroutines.test.runTest
+import org.camphorhall.core.jobs.AttemptRow
+import org.camphorhall.core.jobs.Order
+import org.camphorhall.core.jobs.TaskRef
+import org.camphorhall.core.jobs.TaskTraits
+import org.camphorhall.core.jobs.WorkerKey
+import org.camphorhall.core.jobs.WorkerProfile
+import org.camphorhall.core.model.Resources
+import org.camphorhall.platform.worker.StartAnswer
+import org.camphorhall.platform.worker.WorkerError
+import org.camphorhall.platform.worker.WorkerLists
+import org.camphorhall.platform.worker.WorkerTime
+import org.camphorhall.scheduler.support.Clock
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isTrue
+
+@OptIn(ExperimentalCoroutinesApi::class)
+internal class WorkerLinkTest {
+    private val worker = ScriptedWorker()
+    private val task = TaskRef("00000000000000aa", 0, 0, 0)
+    private val profile =
+        WorkerProfile(WorkerKey("instance", "worker", 1), "service", "zone", Resources(1_000, 1_000))
+
+    private fun TestScope.link() = WorkerLink(
+        profile,
+        worker,
+        firstToken = 100,
+        object : Clock {
+            override fun steady(): Long = currentTime + 1
+
+            override fun wall(): Long = currentTime + 1
+        },
+    )
+
+    private fun lists(millis: Long, vararg running: TaskRef) =
+        WorkerLists(WorkerTime(millis), running.map { AttemptRow(it, 1) }, emptyList())
+
+    private fun ScriptedWorker.Hold.answer(lists: WorkerLists) = answer.complete(Either.Right(lists))
+
+    /** Makes the link know the worker's clock and hold a lease. */
+    private suspend fun TestScope.prepared(): WorkerLink {
+        val link = link()
+        val fence = launch { link.fence() }
+        runCurrent()
+        worker.holds.receive().answer(lists(1_000))
+        fence.join()
+        link.grant(currentTime + 1, leaseMillis = 60_000)
+        return link
+    }
+
+    private fun startOrder(number: Long) = Order.Start(number, task, 1, "payload", "", TaskTraits())
+
+    /** Guards against an attempt that is taken as lost because an older list arrived after a newer one. */
+    @Test
+    fun `a list that was overtaken by a newer one is not used`() = runTest {
+        val link = prepared()
+        val run = launch { link.run() }
+        runCurrent()
+        val early = worker.holds.receive()
+        val order = launch { link.execute(startOrder(1)) }
+        runCurrent()
+        worker.starts.receive().answer.complete(StartAnswer.Started)
+        runCurrent()
+        val stop = launch { link.execute(Order.Stop(2, task.copy(index = 9), 1)) }
+        runCurrent()
+        worker.holds.receive().answer(lists(1_010, task))
+        runCurrent()
+        expectThat(link.report(isFenced = true).ordersDone).isEqualTo(2)
+        early.answer(lists(1_005))
+        runCurrent()
+        val report = link.report(isFenced = true)
+        expectThat(report.running.map { it.task }).containsExactly(task)
+        order.join()
+        stop.join()
+        run.cancel()
+    }
+
+    /** Guards against a start that is carried out after it was reported as refused. */
+    @Test
+    fun `a start without an answer is reported only after the worker was fenced`() = runTest {
+        val link = prepared()
+        val order = launch { link.execute(startOrder(1)) }
+        runCurrent()
+        val start = worker.starts.receive()
+        start.answer.complete(StartAnswer.Unknown("lost"))
+        runCurrent()
+        expectThat(link.report(isFenced = true).refused).isEmpty()
+        val hold = worker.holds.receive()
+        expectThat(hold.token).isGreaterThan(start.call.token)
+        hold.answer(lists(1_100))
+        order.join()
+        expectThat(link.report(isFenced = true).refused.map { it.task }).containsExactly(task)
+        expectThat(link.report(isFenced = true).ordersDone).isEqualTo(0)
+    }
+
+    /** Guards against a start that is sent without a lease and would end at once. */
+    @Test
+    fun `a start without a lease is refused`() = runTest {
+        val link = link()
+        link.execute(startOrder(1))
+        expectThat(link.report(isFenced = true).refused.map { it.reason }).containsExactly("no lease")
+    }
+
+    /** Guards against work on a worker that has announced its end. */
+    @Test
+    fun `a start on a draining worker is refused`() = runTest {
+        val link = prepared()
+        link.profile = profile.copy(draining = true)
+        link.execute(startOrder(1))
+        expectThat(link.report(isFenced = true).refused.map { it.reason }).containsExactly("worker drains")
+    }
+
+    /** Guards against an agent that takes a short loss of its worker as the worker's end. */
+    @Test
+    fun `a worker is gone only after several refused connections`() = runTest {
+        val link = prepared()
+        val run = launch { link.run() }
+        repeat(2) {
+            runCurrent()
+            worker.holds.receive().answer.complete(Either.Left(WorkerError.Refused("port closed")))
+        }
+        runCurrent()
+        expectThat(link.report(isFenced = true).gone).isFalse()
+        worker.holds.receive().answer.complete(Either.Left(WorkerError.Refused("port closed")))
+        runCurrent()
+        expectThat(link.report(isFenced = true).gone).isTrue()
+        run.cancel()
+    }
+}
