--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/OrderLedger.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/OrderLedger.kt
@@ -4,8 +4,11 @@
 
 /** Knows up to which number the orders of the present connection were carried out. Orders may end out of order. */
 internal class OrderLedger {
-    private val open = sortedSetOf<Long>()
-    private var greatest = 0L
+    private val endedEarly = HashSet<Long>()
+
+    /** All orders up to this number were carried out. */
+    var doneUpTo = 0L
+        private set
 
     /** Changes with every connection to an owner. */
     var connection = 0
@@ -14,22 +17,16 @@
     /** Tasks whose start is under way. */
     val starting = HashSet<TaskRef>()
 
-    /** All orders up to this number were carried out. */
-    val doneUpTo: Long get() = (open.firstOrNull() ?: (greatest + 1)) - 1
-
-    fun begin(number: Long) {
-        open += number
-        greatest = maxOf(greatest, number)
-    }
-
+    /** Notes that the order with [number] was carried out. */
     fun end(number: Long) {
-        open -= number
+        endedEarly += number
+        while (endedEarly.remove(doneUpTo + 1)) doneUpTo++
     }
 
     /** Forgets the orders of an earlier connection. */
     fun reset() {
-        open.clear()
-        greatest = 0
+        endedEarly.clear()
+        doneUpTo = 0
         connection++
     }
 }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
@@ -66,6 +66,7 @@
     private var answeredAt = 0L
     private var leaseSentUntil = 0L
     private var portClosed = 0
+    private var summarizedAt = 0L
     private val stored = Channel<Unit>(Channel.CONFLATED)
 
     /** Keeps the lease and the lists up to date until the worker's life ends. */
@@ -75,7 +76,12 @@
             val hasUnstored = lock.withLock { ended.any { it.number > endsStored } }
             if (hasUnstored) withTimeoutOrNull(STORE_WAIT) { stored.receive() }
             val error = look(if (hasUnstored) Duration.ZERO else LOOK_WAIT)
-            if (error != null) delay(RETRY) else balance()
+            if (error != null) {
+                delay(RETRY)
+            } else {
+                balance()
+                summarize()
+            }
         }
     }
 
@@ -106,7 +112,6 @@
 
     /** Carries out [order]. */
     suspend fun execute(order: Order) {
-        lock.withLock { orders.begin(order.number) }
         when (order) {
             is Order.Start -> start(order)
             is Order.Stop -> stop(order)
@@ -271,6 +276,27 @@
         }
     }
 
+    /** Logs what the worker runs and how much of their targets and processors its tasks get, at most every two seconds. */
+    private suspend fun summarize() {
+        val now = clock.steady()
+        if (now - summarizedAt < SUMMARY_MILLIS) return
+        summarizedAt = now
+        val (serving, filling) = lock.withLock {
+            val known = running.mapNotNull { row -> traits[row.task]?.let { row to it } }
+            val serving = known.mapNotNull { (row, t) -> t.latencyTargetMillis?.let { "${row.load}/$it" } }
+            serving to known.filter { (_, t) -> t.backfill }.map { (row, t) -> "${row.load}/${t.cpuMillis}" }
+        }
+        logger.event(
+            Level.INFO,
+            "worker summary",
+            "worker" to profile.key.id,
+            "attempts" to running.size,
+            "serving" to serving,
+            "backfill" to filling,
+            "percent" to throttle.percent,
+        )
+    }
+
     /** Adapts the shares of backfill tasks to the latency of the tasks beside them. */
     private suspend fun balance() {
         val (shares, token) = lock.withLock { throttle.decide(running, traits, clock.steady()) to token }
@@ -292,6 +318,8 @@
     }
 
     private companion object {
+        const val SUMMARY_MILLIS = 2_000L
+
         /** The worker answers after this time if nothing ends; leases are extended as often. */
         val LOOK_WAIT = 400.milliseconds
 
