Keep serving tasks and backfill tasks on separate workers

Change: serving tasks are packed, backfill tasks go to workers without them, other tasks beside serving tasks; the throttle cuts in proportion to the pressure.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/BackfillThrottle.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/BackfillThrottle.kt
@@ -3,7 +3,7 @@
 /**
  * Keeps the tail latency of long-running tasks under their targets by slowing down the backfill tasks on the same worker.
  *
- * The share of the backfill tasks is cut by half while a target is nearly reached and grows in small steps otherwise. The
+ * The share of the backfill tasks is cut in proportion while a target is nearly reached and grows in small steps otherwise. The
  * figures of a worker cover half a second, so that one step for each figure is enough.
  */
 public class BackfillThrottle {
@@ -42,7 +42,7 @@
     }
 
     private fun next(pressure: Double): Int = when {
-        pressure > HIGH -> (percent / 2).let { if (it < LOWEST) 0 else it }
+        pressure > HIGH -> (percent * (AIM / pressure).coerceAtLeast(STEEPEST)).toInt().let { if (it < LOWEST) 0 else it }
         pressure < LOW -> (percent + GROWTH).coerceAtMost(FULL)
         else -> percent
     }
@@ -56,6 +56,10 @@
         /** Part of a target above which backfill tasks are slowed down; a figure lags by up to half a second. */
         const val HIGH = 0.85
 
+        /** Part of a target that a cut aims at, and the smallest factor of one cut. */
+        const val AIM = 0.7
+        const val STEEPEST = 0.4
+
         /** Part of a target below which they get more. */
         const val LOW = 0.6
 
--- /dev/null
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobOrder.kt
@@ -0,0 +1,24 @@
+package org.camphorhall.core.jobs
+
+/**
+ * The order in which jobs get room. The priority of the class goes first. Within a class, jobs that can still meet their
+ * target go before those that cannot, so that load beyond the capacity delays some jobs and not all of them; jobs that
+ * are so late that their result is of no more use go last. Among equals the earliest deadline goes first.
+ */
+internal fun jobOrder(now: Long, priorityOf: (JobState) -> Int): Comparator<JobState> =
+    compareBy<JobState> { priorityOf(it) }.thenBy { latenessOf(it, now) }.thenBy { it.deadline() }
+
+private enum class Lateness { InTime, Late, Useless }
+
+private fun latenessOf(job: JobState, now: Long): Lateness {
+    val target = job.deadline() - job.arrivedAt
+    val end = now + job.remainingChainMillis()
+    return when {
+        end <= job.deadline() -> Lateness.InTime
+        end <= job.arrivedAt + target * USEFUL_TARGETS -> Lateness.Late
+        else -> Lateness.Useless
+    }
+}
+
+/** After three times its target a result is worth nothing to the operators. */
+private const val USEFUL_TARGETS = 3
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
@@ -106,6 +106,7 @@
         w.lastReportAt = now
         w.reachable = report.reachable
         w.healthy = report.healthy
+        w.backfillPercent = report.backfillPercent
         w.leaseEndsAt = if (report.reachable) {
             now + settings.leaseMillis * DRIFT_NUMERATOR / DRIFT_DENOMINATOR + settings.leaseSlackMillis
         } else {
@@ -133,7 +134,16 @@
             if (w.assigned.isNotEmpty()) releaseAll(w, "lease expired")
             if (w.session == null) workers.remove(w.key)
         }
-        for (w in workers.values) repeatStops(w, now)
+        for (w in workers.values) {
+            repeatStops(w, now)
+            moveStragglers(w, now)
+            evacuate(w, now)
+        }
+        for (t in scheduling.throttledBackfill(workers.values, now)) {
+            val w = t.worker?.let(workers::get) ?: continue
+            note("attempt moved", task = t.ref, attempt = t.attempt, worker = w.key.id, detail = "throttled")
+            stop(w, t, now)
+        }
         place(now, wallMillis)
     }
 
@@ -238,6 +248,7 @@
     private fun takeDone(w: WorkerState, job: JobState, t: TaskState, now: Long) {
         if (t.spec.longRunning) return
         w.health.noteDone()
+        t.doneAfter = now - t.assignedAt
         val step = job.step(t.ref) ?: return
         if (t.spec.gang) step.tasks.forEach(step::markDone) else step.markDone(t)
         if (job.isDone && !job.phase.isFinal) finish(job, JobPhase.Completed, now)
@@ -322,6 +333,32 @@
         }
     }
 
+    /** Stops what a draining worker will not finish and what can go on elsewhere. The rest may end there. */
+    private fun evacuate(w: WorkerState, now: Long) {
+        if (!w.profile.draining || !w.isListed) return
+        val left = (w.profile.remainingMillis ?: 0) - (now - w.lastReportAt) - settings.stopMillis
+        for (t in w.assigned.values) {
+            if (t.order == null || t.stopSentAt != null) continue
+            val restMillis = if (t.percent == 0) Long.MAX_VALUE else (now - t.assignedAt) * (FULL - t.percent) / t.percent
+            if (t.spec.longRunning || t.spec.checkpoints && restMillis > left) {
+                note("attempt moved", task = t.ref, attempt = t.attempt, worker = w.key.id, detail = "worker drains")
+                stop(w, t, now)
+            }
+        }
+    }
+
+    private fun moveStragglers(w: WorkerState, now: Long) {
+        if (!w.canTakeWork(now, settings.silentMillis)) return
+        val slow = Stragglers.find(w, { jobs[it.ref.job]?.step(it.ref) }, now)
+        if (slow.isEmpty()) return
+        w.health.noteSlow(now)
+        for (t in slow) {
+            note("attempt moved", task = t.ref, attempt = t.attempt, worker = w.key.id, detail = "worker is slow")
+            t.avoided += w.key.instance
+            stop(w, t, now)
+        }
+    }
+
     private fun sendStop(w: WorkerState, task: TaskRef, attempt: Int) {
         val session = w.session ?: return
         outputs += ShardOutput.Send(session, Order.Stop(++w.lastOrder, task, attempt))
@@ -387,6 +424,9 @@
         const val DRIFT_NUMERATOR = 103
         const val DRIFT_DENOMINATOR = 100
 
+        /** Percent of a task that is done. */
+        const val FULL = 100L
+
         /** Stands for the connection on which an earlier owner sent an order. */
         const val EARLIER_OWNER = -1L
     }
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShardSettings.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShardSettings.kt
@@ -11,12 +11,16 @@
     val leaseSlackMillis: Long = 250,
     /** An agent that was silent for this long gets no new work; agents report at least twice in that time. */
     val silentMillis: Long = 1_200,
+    /** Longest time that a worker takes to stop a task with a checkpoint. */
+    val stopMillis: Long = 900,
     /** A stop without an end is repeated after this time; workers stop a task within 900 ms. */
     val stopRetryMillis: Long = 1_500,
+    /** Below this share, in percent, a backfill task gains from a move although it loses the time of a restart. */
+    val throttledPercent: Int = 50,
+    /** A backfill task is moved at the earliest after this time, so that it does not move again and again. */
+    val moveAfterMillis: Long = 2_000,
     /** How long finished jobs stay known after their end; callers may ask for two minutes. */
     val retentionMillis: Long = 150_000,
     /** Entries of one store transaction besides the ownership check: one condition and one write for each job. */
     val jobsPerCommit: Int = 15,
-    /** Share of the idle processors of a worker that backfill tasks may ask for in total. */
-    val backfillShare: Double = 1.0,
 )
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobSpec.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobSpec.kt
@@ -52,6 +52,9 @@
     /** Maximum number of tasks of a long-running step that the scheduler may make unavailable at a time. */
     val maxUnavailable: Int? = null,
 ) {
+    /** Whether the tasks serve users of their own, whose latency has a target. */
+    val isServing: Boolean get() = latencyTargetMillis != null
+
     /** The part of [demand] that is reserved on a worker. */
     val reserved: Resources get() = if (backfill) demand.copy(cpuMillis = 0) else demand
 }
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobState.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobState.kt
@@ -30,13 +30,18 @@
     val isDone: Boolean get() = allSteps.all { it.isDone }
 
     /** Latest time by which the job should end, by the estimates of its steps. */
-    fun deadline(): Long = arrivedAt + (record.jobClass.stretch * chainMillis()).toLong() + record.jobClass.targetMillis
+    fun deadline(): Long = arrivedAt + (record.jobClass.stretch * chainMillis).toLong() + record.jobClass.targetMillis
 
-    /** Longest chain of estimated work through the steps of one occurrence, in milliseconds. */
-    private fun chainMillis(): Long {
+    private val chainMillis = chainMillis { true }
+
+    /** Longest chain of estimated work through the steps that are not done, in milliseconds. */
+    fun remainingChainMillis(): Long = steps.maxOfOrNull { inOccurrence -> chainMillis { !inOccurrence[it].isDone } } ?: 0L
+
+    private fun chainMillis(counts: (Int) -> Boolean): Long {
         val ends = LongArray(spec.steps.size)
         spec.steps.forEachIndexed { i, s ->
-            ends[i] = s.estimateMillis + (s.after.filter { it in 0 until i }.maxOfOrNull { ends[it] } ?: 0L)
+            val own = if (counts(i)) s.estimateMillis else 0L
+            ends[i] = own + (s.after.filter { it in 0 until i }.maxOfOrNull { ends[it] } ?: 0L)
         }
         return ends.maxOrNull() ?: 0L
     }
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/PlacementPolicy.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/PlacementPolicy.kt
@@ -4,10 +4,21 @@
 internal typealias PlacementPolicy = (task: TaskState, candidates: List<WorkerState>) -> WorkerState?
 
 /**
- * Prefers the worker with the most processors left: idle ones for backfill tasks, unreserved ones otherwise. Workers in
- * the rack of the task's data go first.
+ * Keeps serving tasks and backfill tasks apart, because a backfill task slows down the serving tasks beside it and is
+ * throttled for it.
+ *
+ * - Serving tasks are packed on few workers.
+ * - Backfill tasks go to workers without serving tasks while there is room, then where they would get most processors.
+ * - Other tasks use what serving tasks leave, and only then take room from backfill tasks.
+ *
+ * Workers in the rack of a task's data go before all others.
  */
-internal val spreadByIdleProcessors: PlacementPolicy = { task, candidates ->
+internal val separateServingFromBackfill: PlacementPolicy = { task, candidates ->
     val near = task.spec.dataRack?.let { rack -> candidates.filter { it.rack == rack } }.orEmpty()
-    near.ifEmpty { candidates }.maxByOrNull { it.idleCpu - it.backfillCpu }
+    val usable = near.ifEmpty { candidates }
+    when {
+        task.spec.isServing -> usable.maxWithOrNull(compareBy({ it.servingCpu }, { it.idleCpu - it.backfillCpu }))
+        task.spec.backfill -> usable.maxWithOrNull(compareBy({ it.servingCpu == 0L }, { it.backfillRoom }))
+        else -> usable.maxWithOrNull(compareBy({ it.servingCpu > 0L }, { it.idleCpu }))
+    }
 }
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TaskScheduling.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TaskScheduling.kt
@@ -1,12 +1,12 @@
 package org.camphorhall.core.jobs
 
 /**
- * Chooses which waiting tasks start and where. Jobs go by the priority of their class, then by their deadline, so that
- * short work is not held up by long work that has time.
+ * Chooses which waiting tasks start and where. Jobs go by [jobOrder], so that short work is not held up by
+ * long work that has time.
  */
 internal class TaskScheduling(
     private val settings: JobShardSettings,
-    private val policy: PlacementPolicy = spreadByIdleProcessors,
+    private val policy: PlacementPolicy = separateServingFromBackfill,
 ) {
     /** Assigns what fits now and returns the tasks that were assigned. */
     fun place(
@@ -19,7 +19,7 @@
         val usable = workers.filter { it.canTakeWork(now, settings.silentMillis) }
         if (usable.isEmpty()) return emptyList()
         val placed = mutableListOf<TaskState>()
-        val ordered = jobs.sortedWith(compareBy({ classOf(it.record.jobClass).priority }, { it.deadline() }))
+        val ordered = jobs.sortedWith(jobOrder(now) { classOf(it.record.jobClass).priority })
         for (job in ordered) {
             val service = classOf(job.record.jobClass).service
             val candidates = usable.filter { it.profile.service == service }
@@ -28,6 +28,29 @@
         return placed
     }
 
+    /**
+     * Backfill tasks that are throttled beside serving tasks and would get all their processors on a worker without any.
+     * Only tasks that resume from a checkpoint are moved, one to each such worker at a time.
+     */
+    fun throttledBackfill(workers: Collection<WorkerState>, now: Long): List<TaskState> {
+        val usable = workers.filter { it.canTakeWork(now, settings.silentMillis) && !it.health.isSuspect(now) }
+        val (serving, free) = usable.partition { it.servingCpu > 0 }
+        val throttled = serving.filter { it.backfillPercent < settings.throttledPercent }
+            .sortedBy { it.backfillPercent }
+            .flatMap { it.assigned.values }
+            .filter { it.spec.backfill && it.spec.checkpoints && it.stopSentAt == null && it.order != null }
+            .filter { it.percent < NEARLY_DONE_PERCENT && now - it.assignedAt >= settings.moveAfterMillis }
+            .toMutableList()
+        return free.mapNotNull { target ->
+            val t = throttled.firstOrNull { it.spec.demand.cpuMillis <= target.backfillRoom && fitsBeside(it, target) }
+            t?.also(throttled::remove)
+        }
+    }
+
+    private fun fitsBeside(t: TaskState, w: WorkerState): Boolean =
+        w.reserved + t.spec.reserved fitsIn w.profile.capacity &&
+            (t.spec.requiredLabel == null || t.spec.requiredLabel in w.profile.labels)
+
     private fun placeStep(step: StepState, workers: List<WorkerState>, now: Long): List<TaskState> {
         if (!step.hasWaiting) return emptyList()
         return if (step.spec.gang) placeGang(step, workers, now) else placeTasks(step, workers, now)
@@ -86,7 +109,12 @@
         if (spec.requiredLabel != null && spec.requiredLabel !in w.profile.labels) return false
         if (spec.maxPerWorker != null && w.tasksOf(step) >= spec.maxPerWorker) return false
         if (!(w.reserved + spec.reserved fitsIn w.profile.capacity)) return false
-        return !spec.backfill || w.backfillCpu == 0L && w.idleCpu > 0 ||
-            w.backfillCpu + spec.demand.cpuMillis <= w.idleCpu * settings.backfillShare
+        // A task that is larger than the idle processors of any worker still gets one for itself.
+        return !spec.backfill || w.backfillRoom >= spec.demand.cpuMillis || w.backfillCpu == 0L && w.servingCpu == 0L
+    }
+
+    private companion object {
+        /** The rest of such a task is not worth a restart. */
+        const val NEARLY_DONE_PERCENT = 85
     }
 }
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TaskState.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TaskState.kt
@@ -20,6 +20,9 @@
     var avoided: Set<String> = emptySet()
 
     var assignedAt = 0L
+
+    /** Run time of the attempt that ended done, in milliseconds; 0 if unknown. */
+    var doneAfter = 0L
     var percent = 0
     var load = 0L
 
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/WorkerHealth.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/WorkerHealth.kt
@@ -22,6 +22,11 @@
         if (failed >= MIN_FAILURES && failed * 2 > recent.size) suspectUntil = now + QUARANTINE_MILLIS
     }
 
+    /** Notes that the worker runs tasks far slower than others, or not at all. */
+    fun noteSlow(now: Long) {
+        suspectUntil = now + QUARANTINE_MILLIS
+    }
+
     /** Whether the worker fails most of what it starts; it gets one task at a time then, after a pause. */
     fun isSuspect(now: Long): Boolean = suspectUntil > now
 
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/WorkerReport.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/WorkerReport.kt
@@ -19,6 +19,8 @@
     val gone: Boolean = false,
     /** Whether the worker calls itself healthy. */
     val healthy: Boolean = true,
+    /** Share of their processors that backfill tasks get, in percent. */
+    val backfillPercent: Int = 100,
     /** Upper bound of the time that leases granted to the worker still last, in milliseconds. */
     val leaseLeftMillis: Long = 0,
 )
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/WorkerState.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/WorkerState.kt
@@ -32,6 +32,16 @@
     var backfillCpu = 0L
         private set
 
+    /** Processor demand of assigned serving tasks, in thousandths of a core. */
+    var servingCpu = 0L
+        private set
+
+    /** Share of their processors that backfill tasks get on this worker, in percent. */
+    var backfillPercent = 100
+
+    /** Processors that further backfill tasks would get, in thousandths of a core. */
+    val backfillRoom: Long get() = idleCpu * backfillPercent / 100 - backfillCpu
+
     /** Greatest number of an end that was taken into account. */
     var lastEnd = 0L
 
@@ -52,12 +62,14 @@
         assigned[t.ref] = t
         reserved += t.spec.reserved
         if (t.spec.backfill) backfillCpu += t.spec.demand.cpuMillis
+        if (t.spec.isServing) servingCpu += t.spec.demand.cpuMillis
     }
 
     fun unassign(t: TaskState) {
         if (assigned.remove(t.ref) == null) return
         reserved -= t.spec.reserved
         if (t.spec.backfill) backfillCpu -= t.spec.demand.cpuMillis
+        if (t.spec.isServing) servingCpu -= t.spec.demand.cpuMillis
     }
 
     fun noteEnd(number: Long) {
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/JobShardAttemptsTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/JobShardAttemptsTest.kt
@@ -180,6 +180,31 @@
         expectThat(h.starts).isEmpty()
     }
 
+    private class DrainCase(val step: StepSpec, val percent: Int, val isMoved: Boolean)
+
+    private val drainCases = mapOf(
+        "a long-running task" to DrainCase(step(1).copy(longRunning = true), percent = 100, isMoved = true),
+        "a task with checkpoints that needs longer" to DrainCase(step(1).copy(checkpoints = true), 10, isMoved = true),
+        "a task with checkpoints that ends in time" to DrainCase(step(1).copy(checkpoints = true), 90, isMoved = false),
+        "a task that would start from nothing" to DrainCase(step(1), percent = 10, isMoved = false),
+    )
+
+    /** Guards against work that is lost with a worker that announced its end. */
+    @Test
+    fun `a draining worker hands over what it cannot finish`() {
+        for ((name, case) in drainCases) {
+            val h = ShardHarness()
+            h.report(1)
+            h.shard.accept(record(listOf(case.step)), h.now)
+            h.settle()
+            h.now += 1_000
+            val row = h.rows(1).map { it.copy(percent = case.percent) }
+            h.report(1, running = row) { it.copy(profile = profile(1, draining = true).copy(remainingMillis = 2_000)) }
+            h.tick(0)
+            expectThat(h.stops).describedAs(name).hasSize(if (case.isMoved) 1 else 0)
+        }
+    }
+
     /** Guards against a start that was decided before the worker began to drain. */
     @Test
     fun `a worker that drains while the record is written gets no order`() {
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/PlacementTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/PlacementTest.kt
@@ -63,6 +63,48 @@
         expectThat(h.starts.drop(2).map { it.second.attempt }).containsExactlyInAnyOrder(2, 2)
     }
 
+    /** Guards against backfill tasks beside serving tasks, which slow down each other, while there is room elsewhere. */
+    @Test
+    fun `backfill tasks keep away from serving tasks and leave them when throttled`() {
+        val h = ShardHarness()
+        val serving = step(2, cpu = 4_000).copy(longRunning = true, latencyTargetMillis = 50)
+        val backfill = step(3, cpu = 5_000).copy(backfill = true, checkpoints = true)
+        h.report(1)
+        h.report(2)
+        h.shard.accept(record(listOf(serving), id = "00000000000000b1"), h.now)
+        h.settle()
+        val servingSession = h.starts.map { it.first }.distinct().single()
+        h.shard.accept(record(listOf(backfill), id = "00000000000000b2"), h.now)
+        h.settle()
+        val beside = h.starts.drop(2).filter { it.first == servingSession }
+        expectThat(h.starts.drop(2)).hasSize(2)
+        expectThat(beside).isEmpty()
+        // One task ends; the third one takes its room and not that beside the serving tasks.
+        val free = 3 - servingSession
+        val first = h.starts[2].second
+        h.report(free.toInt(), free, running = h.rows(free).drop(1), ended = listOf(end(1, first, EndCause.Done)))
+        expectThat(h.starts.drop(4).map { it.first }).isEqualTo(listOf(free))
+    }
+
+    /** Guards against a backfill task that stays throttled beside serving tasks while a free worker could run it. */
+    @Test
+    fun `a throttled backfill task moves to a worker without serving tasks`() {
+        val h = ShardHarness()
+        h.report(1)
+        val serving = step(1, cpu = 2_000).copy(longRunning = true, latencyTargetMillis = 50)
+        h.shard.accept(record(listOf(serving), id = "00000000000000b1"), h.now)
+        val backfill = step(1, cpu = 4_000).copy(backfill = true, checkpoints = true)
+        h.shard.accept(record(listOf(backfill), id = "00000000000000b2"), h.now)
+        h.settle()
+        expectThat(h.starts).hasSize(2)
+        h.report(2)
+        h.now += 2_500
+        h.report(1) { it.copy(backfillPercent = 20) }
+        h.report(2)
+        h.tick(0)
+        expectThat(h.stops.map { it.second.task }).isEqualTo(listOf(h.starts[1].second.task))
+    }
+
     /** Guards against short urgent work that waits behind long work. */
     @Test
     fun `classes with a higher priority go first`() {
--- /dev/null
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/StragglersTest.kt
@@ -0,0 +1,48 @@
+package org.camphorhall.core.jobs
+
+import org.camphorhall.core.jobs.ShardHarness.Companion.record
+import org.camphorhall.core.jobs.ShardHarness.Companion.step
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+
+/** Guards against tasks that stay on a worker which stands still, and against moving tasks that are only long. */
+internal class StragglersTest {
+    private val ids = listOf("00000000000000b1", "00000000000000b2")
+
+    /** Two jobs of two tasks on two workers; [percents] gives the progress by session and second. */
+    private fun play(jobs: Int, percent: (Long, Int) -> Int): ShardHarness {
+        val h = ShardHarness()
+        h.report(1)
+        h.report(2)
+        for (id in ids.take(jobs)) h.shard.accept(record(listOf(step(2).copy(maxPerWorker = 1)), id), h.now)
+        h.settle()
+        for (half in 1..5) {
+            h.now += 500
+            for (s in listOf(1L, 2L)) {
+                h.report(s.toInt(), running = h.rows(s).map { it.copy(percent = percent(s, half)) })
+            }
+            h.tick(0)
+        }
+        return h
+    }
+
+    @Test
+    fun `tasks of several jobs that stand still on one worker are moved`() {
+        val h = play(jobs = 2) { session, half -> if (session == 1L) 5 else half * 15 }
+        expectThat(h.stops.map { it.first }.toSet()).isEqualTo(setOf(1L))
+        expectThat(h.stops.map { it.second.task }.toSet()).hasSize(2)
+    }
+
+    @Test
+    fun `one slow job does not blame the worker`() {
+        expectThat(play(jobs = 1) { session, half -> if (session == 1L) 5 else half * 15 }.stops).isEmpty()
+    }
+
+    @Test
+    fun `tasks that make progress stay`() {
+        expectThat(play(jobs = 2) { session, half -> if (session == 1L) half * 8 else half * 15 }.stops).isEmpty()
+    }
+}
--- a/process/src/main/kotlin/org/camphorhall/process/Program.kt
+++ b/process/src/main/kotlin/org/camphorhall/process/Program.kt
@@ -13,8 +13,10 @@
 import com.github.ajalt.clikt.parameters.options.versionOption
 import com.github.ajalt.clikt.parameters.types.path
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.KSerializer
+import sun.misc.Signal
 import java.nio.file.Path
 import java.util.Properties
 import java.util.concurrent.CompletableFuture
@@ -91,7 +93,7 @@
     private val serializer: KSerializer<S>,
     private val check: (S) -> List<SettingsProblem>,
 ) : CliktCommand(name) {
-    private val settings: Path by option("--settings", help = "Settings file, JSON with comments", envvar = SETTINGS_VARIABLE)
+    protected val settings: Path by option("--settings", help = "Settings file, JSON with comments", envvar = SETTINGS_VARIABLE)
         .path().required()
 
     protected fun load(): S = readSettings(settings, serializer, check).fold({ problems ->
@@ -101,14 +103,24 @@
 }
 
 private class Serve<S>(
-    serializer: KSerializer<S>,
-    check: (S) -> List<SettingsProblem>,
+    private val serializer: KSerializer<S>,
+    private val check: (S) -> List<SettingsProblem>,
     private val serve: suspend (S, ShutdownSignal) -> ExitCode,
 ) : SettingsCommand<S>("serve", serializer, check) {
-    override fun help(context: Context) = "Run until SIGTERM or SIGINT."
+    override fun help(context: Context) = "Run until SIGTERM or SIGINT. SIGHUP checks the settings file again."
+
+    /** Checks the file. Addresses and limits of a running process do not change; a restart applies a change. */
+    private fun reload(inForce: S) = readSettings(settings, serializer, check).fold(
+        { problems -> logger.event(Level.ERROR, "settings are invalid and not used", "problems" to problems) },
+        { read ->
+            val isSame = read == inForce
+            logger.event(Level.INFO, "settings read again", "changed" to !isSame, "restartNeeded" to !isSame)
+        },
+    )
 
     override fun run() {
         val s = load()
+        onHangup { reload(s) }
         val code = untilShutdown { serve(s, it) }
         if (code != ExitCode.Ok) throw ProgramResult(code.status)
     }
@@ -130,6 +142,15 @@
     override fun run() = echo(sample.trimEnd())
 }
 
+// Without a handler the JVM ends at SIGHUP.
+private fun onHangup(action: () -> Unit) {
+    try {
+        Signal.handle(Signal("HUP")) { action() }
+    } catch (e: IllegalArgumentException) {
+        logger.warn(e) { "SIGHUP cannot be handled on this system" }
+    }
+}
+
 // A JVM that ends by a signal exits with 128 + signal. The hook waits for a graceful stop and sets the status itself.
 private fun untilShutdown(serve: suspend (ShutdownSignal) -> ExitCode): ExitCode {
     // Ktor's own hook would stop the server at the signal, while requests are still in flight.
--- a/process/src/test/kotlin/org/camphorhall/process/ProgramTest.kt
+++ b/process/src/test/kotlin/org/camphorhall/process/ProgramTest.kt
@@ -61,6 +61,20 @@
         expectThat(child.waitFor()) isEqualTo 0
     }
 
+    // Guards against a process that ends at the signal for changed settings.
+    @Test
+    @Timeout(60)
+    fun `SIGHUP reads the settings again and the process goes on`() = withChild("wait") { child, out ->
+        expectThat(fields(out.readLine())["message"]) isEqualTo "started"
+        for ((text, message) in listOf("{\"behaviour\": \"end\"}" to "settings read again", "{" to "settings are invalid")) {
+            dir.resolve("s.json").writeText(text)
+            ProcessBuilder("kill", "-HUP", "${child.pid()}").start().waitFor()
+            expectThat(out.readLine()).contains(message)
+        }
+        child.toHandle().destroy()
+        expectThat(child.waitFor()) isEqualTo 0
+    }
+
     // Guards against Ktor's own shutdown hook, which stops the server while serve still drains.
     @Test
     @Timeout(60)
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
@@ -131,8 +131,9 @@
             ended = ended.filter { it.number > endsStored },
             refused = refused.map { it.second },
             ordersDone = listedOrders,
-            reachable = isFenced && now - answeredAt < SILENT_MILLIS,
+            reachable = isFenced && portClosed == 0 && now - answeredAt < SILENT_MILLIS,
             gone = portClosed >= GONE_AFTER,
+            backfillPercent = throttle.percent,
             leaseLeftMillis = (leaseSentUntil - now).coerceAtLeast(0) * DRIFT_PERCENT / FULL_PERCENT,
         )
     }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/EntryProcess.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/EntryProcess.kt
@@ -64,6 +64,7 @@
         scope = scope,
         clock = clock,
         metrics = IntakeMetrics(metrics),
+        isStoreUp = ::isStoreUp,
     )
     private val callers = httpServer(options.callers) { fleetCallers(intake) }
     private val readiness = httpServer(options.readiness) { fleetReadiness(::isReady) }
@@ -83,7 +84,9 @@
 
     /** Without the store no job can be accepted; the balancer has better entries then. */
     private fun isReady(): Boolean =
-        !isStopping && config.config != null && clock.steady() - config.checkedAt < STORE_SILENT_MILLIS
+        !isStopping && config.config != null && isStoreUp()
+
+    private fun isStoreUp(): Boolean = clock.steady() - config.checkedAt < STORE_SILENT_MILLIS
 
     /** Serves until the balancer has noticed, then until nothing is in flight. */
     suspend fun stop() {
@@ -106,8 +109,8 @@
         /** Some hundred times the usual answer, so that a slow store still serves. */
         val STORE_CALL = 800.milliseconds
 
-        /** Two watches of the configuration that failed. */
-        const val STORE_SILENT_MILLIS = 2_500L
+        /** A watch of the configuration lasts 0.9 s and has 0.8 s to be answered. */
+        const val STORE_SILENT_MILLIS = 2_000L
 
         /** The balancer asks once a second and needs two misses. */
         val BALANCER_NOTICES = 2_200.milliseconds
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/RealJobIntake.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/RealJobIntake.kt
@@ -27,6 +27,8 @@
     private val scope: CoroutineScope,
     private val clock: Clock,
     private val metrics: IntakeMetrics,
+    /** Whether the store has answered anything lately. */
+    private val isStoreUp: () -> Boolean,
 ) : JobIntake {
     private val requests = AtomicInteger()
     private val finalPhases = FinalPhases()
@@ -60,11 +62,13 @@
         config: OperatorConfig,
         startedAt: Long,
     ): IntakeAnswer {
-        val until = startedAt + patienceMillis(request, jobClass)
+        val until = startedAt + patienceMillis(request, jobClass).coerceAtMost(MAX_WRITE_MILLIS)
         return when (request) {
             is IntakeRequest.Submit -> when {
                 request.bodyBytes > config.maxBodyBytes -> IntakeAnswer.TooLarge
                 !isId(id) -> IntakeAnswer.Invalid("not a job id")
+                // Nothing is sent, so that the refusal is certain and comes at once.
+                !isStoreUp() -> refused("the store does not answer")
                 else -> request.spec?.let { submit(JobRecord(id, it, jobClass, clock.wall()), until) }
                     ?: IntakeAnswer.Invalid("not a valid job")
             }
@@ -140,6 +144,9 @@
         /** Used when neither the caller nor the operators say how long a request may take. */
         const val DEFAULT_PATIENCE_MILLIS = 3_000L
 
+        /** A write that stays open for longer is left to a repetition by the caller. */
+        const val MAX_WRITE_MILLIS = 1_600L
+
         /** Left for the answer to reach the caller. */
         const val ANSWER_MILLIS = 100L
 
