--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShardSettings.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShardSettings.kt
@@ -10,7 +10,7 @@
      */
     val leaseSlackMillis: Long = 250,
     /** An agent that was silent for this long gets no new work; agents report at least twice in that time. */
-    val silentMillis: Long = 1_200,
+    val silentMillis: Long = 1_500,
     /** Longest time that a worker takes to stop a task with a checkpoint. */
     val stopMillis: Long = 900,
     /** A stop without an end is repeated after this time; workers stop a task within 900 ms. */
--- a/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetCommand.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetCommand.kt
@@ -5,11 +5,13 @@
 import com.github.ajalt.clikt.parameters.options.multiple
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.long
+import io.ktor.http.HttpMethod
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.camphorhall.dev.ServerCommand
+import org.camphorhall.dev.http.Answer
 import org.camphorhall.dev.http.TestServer
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -24,7 +26,11 @@
     override suspend fun start(): Started {
         val scope = CoroutineScope(Dispatchers.Default)
         val store = FleetStoreService()
-        val server = TestServer.start(host, port, store.faults) { store.define(this) }
+        val oracle = FleetOracle()
+        val server = TestServer.start(host, port, store.faults) {
+            store.define(this)
+            debug(HttpMethod.Get, "/debug/runs") { Answer.json(oracle.runs()) }
+        }
         scope.launch {
             while (true) {
                 delay(EXPIRY_PERIOD)
@@ -32,7 +38,7 @@
             }
         }
         val workers = agents.mapIndexed { i, agent ->
-            val worker = FleetWorkerService("worker-$i", service, cpu)
+            val worker = FleetWorkerService("worker-$i", service, cpu, oracle)
             val workerServer = TestServer.start(host, 0, worker.faults) { worker.define(this) }
             scope.launch { worker.announce(agent, "$host:${workerServer.port}") }
             workerServer
--- a/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerService.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerService.kt
@@ -23,10 +23,11 @@
     private val id: String,
     private val service: String,
     private val cpu: Long,
+    oracle: FleetOracle = FleetOracle(),
     private val clock: () -> Long = { System.nanoTime() / NANOS_PER_MILLI },
 ) {
     private val born = System.currentTimeMillis()
-    private val state = FleetWorkerState(cpu)
+    private val state = FleetWorkerState(cpu, oracle, id)
     val faults = FaultSwitch()
 
     @Volatile
@@ -37,7 +38,6 @@
         on(HttpMethod.Post, "/v1/run-stop") { call -> order(call) { o -> null.also { state.stop(o.task, o.run, clock()) } } }
         on(HttpMethod.Post, "/v1/pace") { call -> order(call) { null } }
         on(HttpMethod.Post, "/v1/hold") { call -> hold(call) }
-        debug(HttpMethod.Get, "/debug/starts") { Answer.json(locked { starts.map { "${it.first} ${it.second}" } }) }
         debug(HttpMethod.Put, "/debug/drain") { Answer().also { isDraining = true } }
     }
 
--- a/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerState.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerState.kt
@@ -1,7 +1,7 @@
 package org.camphorhall.dev.fleet
 
 /** What a worker of the users' platform runs. Times are milliseconds of its own clock. Not safe for concurrent use. */
-internal class FleetWorkerState(private val cpuCapacity: Long) {
+internal class FleetWorkerState(private val cpuCapacity: Long, private val oracle: FleetOracle, private val id: String) {
     /** One task that runs. Its work is done after [runMillis]. */
     class Run(val task: String, val run: Int, val runMillis: Long, val cpu: Long, val startedAt: Long)
 
@@ -11,8 +11,6 @@
     val running = LinkedHashMap<String, Run>()
     val ended = mutableListOf<End>()
 
-    /** Every start, in order: the task, its run and the time. */
-    val starts = mutableListOf<Triple<String, Int, Long>>()
     private val highestRun = HashMap<String, Int>()
     private var leaseUntil = 0L
     private var token = 0L
@@ -40,7 +38,7 @@
             else -> {
                 highestRun[task] = run
                 running[task] = Run(task, run, runMillis, cpu, now)
-                starts += Triple(task, run, now)
+                oracle.started(id, task, run)
                 null
             }
         }
@@ -54,11 +52,12 @@
 
     /** Ends what is done, and everything when the lease has expired. */
     fun expire(now: Long) {
-        running.values.filter { it.runMillis >= 0 && now - it.startedAt >= it.runMillis }.forEach { end(it.task, "done") }
+        running.values.filter { it.runMillis >= 0 && now - it.startedAt >= it.runMillis }.forEach { end(it.task, DONE) }
         if (now >= leaseUntil) running.keys.toList().forEach { end(it, "lapsed") }
     }
 
     fun forget(upTo: Long) {
+        ended.filter { it.number <= upTo && it.cause == DONE }.forEach { oracle.noted(it.task) }
         ended.removeAll { it.number <= upTo }
     }
 
@@ -67,10 +66,12 @@
 
     private fun end(task: String, cause: String) {
         val run = running.remove(task) ?: return
+        oracle.ended(id, task, cause == DONE)
         ended += End(++lastEnd, task, run.run, cause)
     }
 
     private companion object {
         const val FULL = 100
+        const val DONE = "done"
     }
 }
--- /dev/null
+++ b/e2e/src/test/kotlin/org/camphorhall/e2e/SchedulerDeployment.kt
@@ -0,0 +1,103 @@
+package org.camphorhall.e2e
+
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.nio.file.Files
+import java.nio.file.Path
+import java.time.Duration
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+
+/** The scheduler's real programs on loopback: the stand-ins of the users' platform, entries, and agents with workers. */
+internal class SchedulerDeployment(private val dir: Path, workers: Int, entries: Int) : AutoCloseable {
+    /** What the stand-in's oracle saw. */
+    @Serializable
+    class Runs(val started: List<String>, val done: List<String>, val violations: List<String>)
+
+    /** An entry and the port for callers. */
+    class Entry(val process: Launched, val port: Int)
+
+    private val http = HttpClient.newBuilder().connectTimeout(Duration.ofMillis(500)).build()
+    private val heartbeats = List(workers) { freePort() }
+    private val fleet = Launched(
+        "fleet",
+        listOf(bin("camphorhall-dev"), "fleet") + heartbeats.flatMap { listOf("--agent", "127.0.0.1:$it") },
+        dir.resolve("fleet.log"),
+    )
+    private val store = fleet.announced("port")
+
+    val agents: List<Launched> = heartbeats.mapIndexed { i, port ->
+        val settings = """{"instance":"instance-$i","heartbeats":"127.0.0.1:$port","peers":"127.0.0.1:${freePort()}",
+            "metrics":"127.0.0.1:${freePort()}","store":"127.0.0.1:$store"}"""
+        launch("agent-$i", "agent", settings)
+    }
+    val entries: List<Entry> = List(entries) { i ->
+        val port = freePort()
+        val settings = """{"instance":"entry-$i","callers":"127.0.0.1:$port","readiness":"127.0.0.1:${freePort()}",
+            "metrics":"127.0.0.1:${freePort()}","store":"127.0.0.1:$store"}"""
+        Entry(launch("entry-$i", "entry", settings), port)
+    }
+
+    init {
+        send("PUT", "http://127.0.0.1:$store/debug/key/op/config", CONFIG)
+    }
+
+    /** Sends faults to the key-value service; `{}` ends all faults. */
+    fun storeFaults(faults: String) = send("PUT", "http://127.0.0.1:$store/faults", faults)
+
+    fun runs(): Runs = Json.decodeFromString(checkNotNull(send("GET", "http://127.0.0.1:$store/debug/runs")?.body()))
+
+    /** Submits a job of three tasks and one that follows them; returns the status or null without an answer. */
+    fun submit(entry: Entry, id: String, runMillis: Int): Int? = call(entry, "POST", id, job(runMillis))?.statusCode()
+
+    fun cancel(entry: Entry, id: String): Int? = call(entry, "DELETE", id)?.statusCode()
+
+    /** State of a job; null if the entry does not tell. */
+    fun state(entry: Entry, id: String): String? = call(entry, "GET", id)?.takeIf { it.statusCode() == OK }
+        ?.let { Regex("\"state\":\"([a-z]+)\"").find(it.body())?.groupValues?.get(1) }
+
+    override fun close() {
+        agents.forEach { it.close() }
+        entries.forEach { it.process.close() }
+        fleet.close()
+    }
+
+    private fun launch(name: String, role: String, settings: String): Launched {
+        val file = dir.resolve("$name.json").also { Files.writeString(it, settings) }
+        return Launched(
+            name,
+            listOf(bin("camphorhall-scheduler"), role, "serve", "--settings", "$file"),
+            dir.resolve("$name.log"),
+        )
+    }
+
+    private fun call(entry: Entry, method: String, id: String, body: String? = null): HttpResponse<String>? =
+        send(method, "http://127.0.0.1:${entry.port}/jobs/$id", body)
+
+    // The host of a request selects the class of work, so that the configuration names the address of the entry.
+    private fun send(method: String, url: String, body: String? = null): HttpResponse<String>? {
+        val publisher = body?.let(HttpRequest.BodyPublishers::ofString) ?: HttpRequest.BodyPublishers.noBody()
+        val request = HttpRequest.newBuilder(URI(url)).method(method, publisher).timeout(Duration.ofSeconds(4)).build()
+        return try {
+            http.send(request, HttpResponse.BodyHandlers.ofString())
+        } catch (e: java.io.IOException) {
+            // The process may be down; the caller tries again or counts the answer as missing.
+            println("$method $url: $e")
+            null
+        }
+    }
+
+    companion object {
+        const val OK = 200
+        private const val CONFIG = """{"version":1,"routes":[{"name":"r","host":"127.0.0.1","prefix":"/jobs/",
+            "timeout-ms":3000,"slo-ms":250,"service":"service-1","max-attempts":9,"stretch":2.0}],
+            "limits":{"max-body-bytes":262144}}"""
+
+        private fun bin(name: String) = "$repositoryRoot/bin/$name"
+
+        private fun job(runMillis: Int) = """{"spec":"$runMillis","steps":[{"count":3,"cpu":500,"mem-mb":10},""" +
+            """{"count":1,"cpu":500,"mem-mb":10,"after":[0]}]}"""
+    }
+}
--- a/entry/src/main/kotlin/org/camphorhall/entry/store/PageStore.kt
+++ b/entry/src/main/kotlin/org/camphorhall/entry/store/PageStore.kt
@@ -35,8 +35,10 @@
     private suspend fun write(call: PageCall.Write<B>): PageEvent<B> =
         store.put(key, encode(call).encodeToByteArray(), call.expected).fold({ e ->
             when (e) {
-                is StoreError.VersionMismatch, is StoreError.Uncertain -> PageEvent.InDoubt(call.token)
-                is StoreError.Unavailable, StoreError.LeaseExpired -> PageEvent.NotWritten(call.token)
+                is StoreError.VersionMismatch, is StoreError.Conflict, is StoreError.Uncertain ->
+                    PageEvent.InDoubt(call.token)
+                is StoreError.Unavailable, StoreError.LeaseExpired, StoreError.HistoryLost ->
+                    PageEvent.NotWritten(call.token)
             }
         }) { PageEvent.Written(call.token, it) }
 }
--- a/process/src/main/kotlin/org/camphorhall/process/Program.kt
+++ b/process/src/main/kotlin/org/camphorhall/process/Program.kt
@@ -1,5 +1,6 @@
 package org.camphorhall.process
 
+import ch.qos.logback.classic.LoggerContext
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.CliktError
 import com.github.ajalt.clikt.core.Context
@@ -16,6 +17,7 @@
 import io.github.oshai.kotlinlogging.Level
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.KSerializer
+import org.slf4j.LoggerFactory
 import sun.misc.Signal
 import java.nio.file.Path
 import java.util.Properties
@@ -53,7 +55,16 @@
 )
 
 /** Runs [command] with [args] and ends the process with a status of [ExitCode]; for use as the body of `main`. */
-public fun runProgram(command: CliktCommand, args: Array<String>): Unit = exitProcess(statusOf(command, args))
+public fun runProgram(command: CliktCommand, args: Array<String>) {
+    val status = statusOf(command, args)
+    flushLogs()
+    exitProcess(status)
+}
+
+// Lines wait in a queue for the thread that writes them.
+private fun flushLogs() {
+    (LoggerFactory.getILoggerFactory() as? LoggerContext)?.stop()
+}
 
 /**
  * Runs [command] with [args], prints its errors and returns the exit status. Wrong arguments and a missing subcommand
@@ -160,6 +171,7 @@
     val hook = Thread({
         signal.request()
         val code = ended.join()
+        flushLogs()
         System.out.flush()
         Runtime.getRuntime().halt(code.status)
     }, "shutdown")
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/OwnerLink.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/OwnerLink.kt
@@ -107,12 +107,12 @@
 
     private companion object {
         /** Longest time between two reports. */
-        val PERIOD = 400.milliseconds
+        val PERIOD = 700.milliseconds
         val RETRY = 100.milliseconds
-        val WATCH = 100.milliseconds
+        val WATCH = 200.milliseconds
 
         /** A connection without an answer for this long is silent; the owner answers every report. */
-        const val SILENT_MILLIS = 1_300L
+        const val SILENT_MILLIS = 1_500L
 
         /** Reports whose answers are still waited for. */
         const val UNANSWERED = 256
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
@@ -75,7 +75,7 @@
             // Ends that are not stored yet are listed by every answer at once.
             val hasUnstored = lock.withLock { ended.any { it.number > endsStored } }
             if (hasUnstored) withTimeoutOrNull(STORE_WAIT) { stored.receive() }
-            val error = look(if (hasUnstored) Duration.ZERO else LOOK_WAIT)
+            val error = look(if (hasUnstored) Duration.ZERO else lookWait())
             if (error != null) {
                 delay(RETRY)
             } else {
@@ -85,6 +85,13 @@
         }
     }
 
+    /** Figures are needed as often as the worker makes them, where backfill tasks run beside serving tasks. */
+    private suspend fun lookWait(): Duration = lock.withLock {
+        val known = running.mapNotNull { traits[it.task] }
+        val isShared = known.any { it.backfill } && known.any { it.latencyTargetMillis != null }
+        if (isShared) SHARED_LOOK_WAIT else LOOK_WAIT
+    }
+
     /** Takes a lease that the owner granted. */
     suspend fun grant(from: Long, leaseMillis: Long): Unit = lock.withLock { lease.grant(from, leaseMillis) }
 
@@ -322,14 +329,17 @@
         const val SUMMARY_MILLIS = 2_000L
 
         /** The worker answers after this time if nothing ends; leases are extended as often. */
-        val LOOK_WAIT = 400.milliseconds
+        val LOOK_WAIT = 800.milliseconds
+
+        /** Period of a worker's figures. */
+        val SHARED_LOOK_WAIT = 500.milliseconds
 
         /** Longest wait for the owner to store an end before the lists are read again. */
         val STORE_WAIT = 150.milliseconds
         val RETRY = 50.milliseconds
 
-        /** The worker counts as unreachable after this time without an answer: two looks that failed. */
-        const val SILENT_MILLIS = 1_500L
+        /** The worker counts as unreachable after this time without an answer: a look lasts 0.8 s and has as long again. */
+        const val SILENT_MILLIS = 1_700L
 
         /** Connections refused in a row after which the worker process counts as gone. */
         const val GONE_AFTER = 3
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/JobRecords.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/JobRecords.kt
@@ -75,7 +75,7 @@
         while (true) {
             val error = store.put(key, value.encodeToByteArray(), expected = 0).leftOrNull() ?: return WriteResult.Stored
             // Only this kind of write creates the key.
-            if (error is StoreError.Conflict) return WriteResult.Stored
+            if (error is StoreError.VersionMismatch) return WriteResult.Stored
             isOpen = isOpen || error is StoreError.Uncertain
             logger.event(Level.INFO, "record not written", "key" to key, "reason" to error, "try" to ++tries)
             val isLate = clock.steady() + RETRY_MILLIS >= until
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardCandidate.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardCandidate.kt
@@ -101,10 +101,10 @@
 
     private companion object {
         /** Between two looks for an owner; each is one cheap read. */
-        const val POLL_MILLIS = 400L
+        const val POLL_MILLIS = 500L
 
         /** Spreads the candidates, so that one of them takes a free shard before the others try. */
-        const val JITTER_MILLIS = 400L
+        const val JITTER_MILLIS = 500L
 
         /** Four renewals fit into [Ownership.LEASE_MILLIS]. */
         val RENEW = 500.milliseconds
