--- /dev/null
+++ b/dev/src/test/kotlin/org/camphorhall/dev/fleet/FleetStoreAdapterTest.kt
@@ -0,0 +1,92 @@
+package org.camphorhall.dev.fleet
+
+import arrow.core.getOrElse
+import kotlinx.coroutines.async
+import kotlinx.coroutines.runBlocking
+import org.camphorhall.dev.http.TestServer
+import org.camphorhall.platform.fleet.FleetStore
+import org.camphorhall.platform.store.StoreError
+import org.camphorhall.platform.store.StoreTransaction
+import org.camphorhall.platform.store.StoreTransaction.Write
+import org.camphorhall.platform.store.TransactionalStore
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** The adapter to the users' key-value service against a stand-in that speaks the published protocol. */
+internal class FleetStoreAdapterTest {
+    private val service = FleetStoreService()
+    private val server = runBlocking { TestServer.start("127.0.0.1", 0, service.faults) { service.define(this) } }
+    private val store = FleetStore("127.0.0.1:${server.port}", 1.seconds, 500.milliseconds)
+
+    @AfterEach
+    fun stop() = server.stop()
+
+    private fun TransactionalStore.write(key: String, value: String, expected: Long, lease: String? = null) =
+        runBlocking { put(key, value.encodeToByteArray(), expected, lease) }
+
+    /** Guards against a change that is made in part, or on a condition that does not hold. */
+    @Test
+    fun `a transaction is made whole or not at all`() = runBlocking<Unit> {
+        val revision = store.write("a", "1", 0).getOrElse { error("$it") }
+        val writes = listOf(Write("b", byteArrayOf(1)), Write("c", byteArrayOf(2)))
+        val failed = store.commit(StoreTransaction(mapOf("a" to revision, "b" to 9L), writes)).leftOrNull()
+        expectThat(failed).isA<StoreError.Conflict>().get { current.map { it.key to it.version } }
+            .isEqualTo(listOf("a" to revision))
+        expectThat(store.get("c").getOrNull()).isNull()
+        val made = store.commit(StoreTransaction(mapOf("a" to revision, "b" to 0L), writes, deletes = listOf("a")))
+        expectThat(store.get("c").getOrNull()?.version).isEqualTo(made.getOrNull())
+        expectThat(store.get("a").getOrNull()).isNull()
+    }
+
+    /** Guards against a key that outlives the lease of its owner. */
+    @Test
+    fun `a key goes with its lease`() = runBlocking<Unit> {
+        val lease = store.grantLease(5.seconds).getOrElse { error("$it") }
+        store.write("k", "v", 0, lease)
+        expectThat(store.renewLease(lease).isRight()).isEqualTo(true)
+        store.revokeLease(lease)
+        expectThat(store.get("k").getOrNull()).isNull()
+        expectThat(store.renewLease(lease).leftOrNull()).isEqualTo(StoreError.LeaseExpired)
+    }
+
+    /** Guards against changes that a watch misses. */
+    @Test
+    fun `a watch returns changes and deletions after its revision`() = runBlocking<Unit> {
+        val first = store.write("p/a", "1", 0).getOrElse { error("$it") }
+        val waiting = async { store.watch("p/", first, 5.seconds) }
+        store.write("p/b", "2", 0)
+        expectThat(waiting.await().getOrNull()?.items?.map { it.key }).isEqualTo(listOf("p/b"))
+        store.delete("p/a", first)
+        expectThat(store.watch("p/", first, 1.seconds).getOrNull()?.deleted).isEqualTo(listOf("p/a"))
+        expectThat(store.watch("p/", 99, 50.milliseconds).getOrNull()?.items).isEqualTo(emptyList())
+    }
+
+    /** Guards against a list that stops at the first page. */
+    @Test
+    fun `a list goes on until its last page`() = runBlocking<Unit> {
+        repeat(620) { store.write("l/%04d".format(it), "v", 0) }
+        expectThat(store.list("l/").getOrNull()?.items?.size).isEqualTo(620)
+    }
+
+    private val outcomes = mapOf<String, (StoreError?) -> Boolean>(
+        """{"outage":true}""" to { it is StoreError.Unavailable },
+        """{"dropAnswers":true}""" to { it is StoreError.Uncertain },
+        """{"silent":true}""" to { it is StoreError.Uncertain },
+    )
+
+    /** Guards against a write that is called refused although it may have been made. */
+    @Test
+    fun `only a refused call is known to have done nothing`() = runBlocking<Unit> {
+        for ((faults, isExpected) in outcomes) {
+            service.faults.set(org.camphorhall.dev.http.Answer.format.decodeFromString(faults))
+            val error = store.write("f$faults", "v", 0).leftOrNull()
+            expectThat(isExpected(error)).describedAs("$faults gave $error").isEqualTo(true)
+        }
+    }
+}
