--- a/core/src/main/kotlin/org/camphorhall/core/jobs/BackfillThrottle.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/BackfillThrottle.kt
@@ -1,10 +1,11 @@
 package org.camphorhall.core.jobs
 
 /**
- * Keeps the tail latency of long-running tasks under their targets by slowing down the backfill tasks on the same worker.
+ * Keeps the tail latency of long-running tasks under their targets by slowing down the backfill tasks on the same
+ * worker.
  *
- * The share of the backfill tasks is cut in proportion while a target is nearly reached and grows in small steps otherwise. The
- * figures of a worker cover half a second, so that one step for each figure is enough.
+ * The share of the backfill tasks is cut in proportion while a target is nearly reached and grows in small steps
+ * otherwise. The figures of a worker cover half a second, so that one step for each figure is enough.
  */
 public class BackfillThrottle {
     /** Share of the processors that backfill tasks may use, in percent. */
@@ -42,11 +43,16 @@
     }
 
     private fun next(pressure: Double): Int = when {
-        pressure > HIGH -> (percent * (AIM / pressure).coerceAtLeast(STEEPEST)).toInt().let { if (it < LOWEST) 0 else it }
+        pressure > HIGH -> cut(pressure)
         pressure < LOW -> (percent + GROWTH).coerceAtMost(FULL)
         else -> percent
     }
 
+    private fun cut(pressure: Double): Int {
+        val share = (percent * (AIM / pressure).coerceAtLeast(STEEPEST)).toInt()
+        return if (share < LOWEST) 0 else share
+    }
+
     private companion object {
         const val FULL = 100
 
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobOrder.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobOrder.kt
@@ -1,9 +1,9 @@
 package org.camphorhall.core.jobs
 
 /**
- * The order in which jobs get room. The priority of the class goes first. Within a class, jobs that can still meet their
- * target go before those that cannot, so that load beyond the capacity delays some jobs and not all of them; jobs that
- * are so late that their result is of no more use go last. Among equals the earliest deadline goes first.
+ * The order in which jobs get room. The priority of the class goes first. Within a class, jobs that can still meet
+ * their target go before those that cannot, so that load beyond the capacity delays some jobs and not all of them; jobs
+ * that are so late that their result is of no more use go last. Among equals the earliest deadline goes first.
  */
 internal fun jobOrder(now: Long, priorityOf: (JobState) -> Int): Comparator<JobState> =
     compareBy<JobState> { priorityOf(it) }.thenBy { latenessOf(it, now) }.thenBy { it.deadline() }
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShardSettings.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShardSettings.kt
@@ -19,6 +19,8 @@
     val throttledPercent: Int = 50,
     /** A backfill task is moved at the earliest after this time, so that it does not move again and again. */
     val moveAfterMillis: Long = 2_000,
+    /** A job without anything running for this long gets one backfill task started beside those of other jobs. */
+    val starvedAfterMillis: Long = 1_500,
     /** How long finished jobs stay known after their end; callers may ask for two minutes. */
     val retentionMillis: Long = 150_000,
     /** Entries of one store transaction besides the ownership check: one condition and one write for each job. */
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobState.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobState.kt
@@ -20,6 +20,9 @@
     /** When the job reached its final phase. */
     var endedAt = 0L
 
+    /** Since when backfill tasks could start and nothing of the job runs; null otherwise. */
+    var starvedSince: Long? = null
+
     /** What may be sent once the present state is stored. */
     val outbox = mutableListOf<Outgoing>()
 
@@ -35,7 +38,8 @@
     private val chainMillis = chainMillis { true }
 
     /** Longest chain of estimated work through the steps that are not done, in milliseconds. */
-    fun remainingChainMillis(): Long = steps.maxOfOrNull { inOccurrence -> chainMillis { !inOccurrence[it].isDone } } ?: 0L
+    fun remainingChainMillis(): Long =
+        steps.maxOfOrNull { inOccurrence -> chainMillis { !inOccurrence[it].isDone } } ?: 0L
 
     private fun chainMillis(counts: (Int) -> Boolean): Long {
         val ends = LongArray(spec.steps.size)
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/Stragglers.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/Stragglers.kt
@@ -1,8 +1,8 @@
 package org.camphorhall.core.jobs
 
 /**
- * Finds workers on which tasks stand still or run several times slower than their siblings elsewhere. One slow task can be
- * long by itself; slow tasks of several jobs on one worker point at the worker.
+ * Finds workers on which tasks stand still or run several times slower than their siblings elsewhere. One slow task can
+ * be long by itself; slow tasks of several jobs on one worker point at the worker.
  */
 internal object Stragglers {
     /** Tasks of [worker] to move away; empty unless the worker is at fault. [stepOf] gives the step of a task. */
@@ -18,7 +18,9 @@
         (!t.spec.backfill || w.backfillPercent >= FAIR_PERCENT)
 
     private fun isSlow(t: TaskState, step: StepState?, now: Long): Boolean {
-        val siblings = step?.tasks.orEmpty().filter { it !== t && it.worker != t.worker }.mapNotNull { it.duration(now) }
+        val siblings = step?.tasks.orEmpty()
+            .filter { it !== t && it.worker != t.worker }
+            .mapNotNull { it.duration(now) }
         if (siblings.isEmpty()) return false
         val usual = siblings.sorted()[siblings.size / 2]
         return projected(t, now) > usual * SLOW_FACTOR && now - t.progressAt > 0
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TaskScheduling.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TaskScheduling.kt
@@ -24,13 +24,35 @@
             val service = classOf(job.record.jobClass).service
             val candidates = usable.filter { it.profile.service == service }
             for (step in job.readySteps(wallMillis)) placed += placeStep(step, candidates, now)
+            placed += placeStarved(job, candidates, now, wallMillis)
         }
         return placed
     }
 
     /**
-     * Backfill tasks that are throttled beside serving tasks and would get all their processors on a worker without any.
-     * Only tasks that resume from a checkpoint are moved, one to each such worker at a time.
+     * Starts one backfill task of a job that has had nothing running for a while, although its room is taken by other
+     * backfill tasks. Without this, large jobs would wait for as long as smaller ones keep coming.
+     */
+    private fun placeStarved(job: JobState, workers: List<WorkerState>, now: Long, wallMillis: Long): List<TaskState> {
+        val t = job.readySteps(wallMillis).filter { it.spec.backfill && !it.spec.gang }
+            .flatMap { it.tasks }.firstOrNull { it.isWaiting }
+        if (t == null || job.allTasks.any { it.worker != null }) {
+            job.starvedSince = null
+            return emptyList()
+        }
+        val since = job.starvedSince ?: now.also { job.starvedSince = it }
+        if (now - since < settings.starvedAfterMillis) return emptyList()
+        val step = job.step(t.ref) ?: return emptyList()
+        val w = workers.filter { mayRun(step, t, it) && it.idleCpu >= t.spec.demand.cpuMillis }
+            .filter { !it.health.isSuspect(now) }
+            .maxByOrNull { it.idleCpu - it.backfillCpu } ?: return emptyList()
+        assign(t, w, t.attempt + 1, now)
+        return listOf(t)
+    }
+
+    /**
+     * Backfill tasks that are throttled beside serving tasks and would get all their processors on a worker without
+     * any. Only tasks that resume from a checkpoint are moved, one to each such worker at a time.
      */
     fun throttledBackfill(workers: Collection<WorkerState>, now: Long): List<TaskState> {
         val usable = workers.filter { it.canTakeWork(now, settings.silentMillis) && !it.health.isSuspect(now) }
@@ -104,13 +126,17 @@
         return if (usable.isEmpty()) null else policy(t, usable)
     }
 
-    private fun fits(step: StepState, t: TaskState, w: WorkerState): Boolean {
+    private fun fits(step: StepState, t: TaskState, w: WorkerState): Boolean = mayRun(step, t, w) && (
+        // A task that is larger than the idle processors of any worker still gets one for itself.
+        !t.spec.backfill || w.backfillRoom >= t.spec.demand.cpuMillis || w.backfillCpu == 0L && w.servingCpu == 0L
+        )
+
+    /** Whether the worker has the labels and the unreserved room that the task needs. */
+    private fun mayRun(step: StepState, t: TaskState, w: WorkerState): Boolean {
         val spec = t.spec
         if (spec.requiredLabel != null && spec.requiredLabel !in w.profile.labels) return false
         if (spec.maxPerWorker != null && w.tasksOf(step) >= spec.maxPerWorker) return false
-        if (!(w.reserved + spec.reserved fitsIn w.profile.capacity)) return false
-        // A task that is larger than the idle processors of any worker still gets one for itself.
-        return !spec.backfill || w.backfillRoom >= spec.demand.cpuMillis || w.backfillCpu == 0L && w.servingCpu == 0L
+        return w.reserved + spec.reserved fitsIn w.profile.capacity
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TaskState.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TaskState.kt
@@ -42,4 +42,9 @@
 }
 
 /** A start order: the connection to the agent and the number of the order on it. */
-internal data class OrderId(val session: Long, val number: Long)
+internal data class OrderId(val session: Long, val number: Long) {
+    companion object {
+        /** Stands for the connection on which an earlier owner sent an order. */
+        const val EARLIER_OWNER = -1L
+    }
+}
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/WorkerHealth.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/WorkerHealth.kt
@@ -1,8 +1,8 @@
 package org.camphorhall.core.jobs
 
 /**
- * Judges a worker by how the attempts on it end. A task that can never succeed fails everywhere, so only one failure for
- * each job counts.
+ * Judges a worker by how the attempts on it end. A task that can never succeed fails everywhere, so only one failure
+ * for each job counts.
  */
 internal class WorkerHealth {
     private val recent = ArrayDeque<Boolean>()
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/WorkerLease.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/WorkerLease.kt
@@ -1,8 +1,8 @@
 package org.camphorhall.core.jobs
 
 /**
- * Translates leases from an agent's steady clock to the steady clock of its worker, which may run 2 % slow. The result is
- * never later than the lease.
+ * Translates leases from an agent's steady clock to the steady clock of its worker, which may run 2 % slow. The result
+ * is never later than the lease.
  */
 public class WorkerLease {
     private var workerMillis = 0L
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/PlacementTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/PlacementTest.kt
@@ -63,7 +63,9 @@
         expectThat(h.starts.drop(2).map { it.second.attempt }).containsExactlyInAnyOrder(2, 2)
     }
 
-    /** Guards against backfill tasks beside serving tasks, which slow down each other, while there is room elsewhere. */
+    /**
+     * Guards against backfill tasks beside serving tasks, which slow down each other, while there is room elsewhere.
+     */
     @Test
     fun `backfill tasks keep away from serving tasks and leave them when throttled`() {
         val h = ShardHarness()
@@ -86,6 +88,22 @@
         expectThat(h.starts.drop(4).map { it.first }).isEqualTo(listOf(free))
     }
 
+    /** Guards against a job that never starts because other backfill work keeps all idle processors. */
+    @Test
+    fun `a job without anything running gets one backfill task`() {
+        val h = ShardHarness()
+        val backfill = step(2, cpu = 5_000).copy(backfill = true)
+        h.report(1)
+        for (id in listOf("00000000000000b1", "00000000000000b2")) h.shard.accept(record(listOf(backfill), id), h.now)
+        h.settle()
+        expectThat(h.starts.map { it.second.task.job }.distinct()).isEqualTo(listOf("00000000000000b1"))
+        repeat(3) {
+            h.report(1)
+            h.tick(600)
+        }
+        expectThat(h.starts.drop(2).map { it.second.task.job }).isEqualTo(listOf("00000000000000b2"))
+    }
+
     /** Guards against a backfill task that stays throttled beside serving tasks while a free worker could run it. */
     @Test
     fun `a throttled backfill task moves to a worker without serving tasks`() {
--- a/dev/src/main/kotlin/org/camphorhall/dev/Main.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/Main.kt
@@ -21,7 +21,8 @@
     // Standard output carries only the JSON lines and results that tests read.
     (LoggerFactory.getILoggerFactory() as? LoggerContext)?.getLogger("ROOT")?.level = Level.ERROR
     DevCommand()
-        .subcommands(StoreCommand(), RuntimeCommand(), BackendCommand(), LoadCommand(), RelayCommand(), FleetCommand(), TrainCommand())
+        .subcommands(StoreCommand(), RuntimeCommand(), BackendCommand(), LoadCommand(), RelayCommand())
+        .subcommands(FleetCommand(), TrainCommand())
         .main(args)
 }
 
--- a/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetCommand.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetCommand.kt
@@ -19,7 +19,10 @@
 internal class FleetCommand : ServerCommand("fleet") {
     private val service by option(help = "service of the workers").default("service-1")
     private val cpu by option(help = "processors of a worker, in thousandths of a core").long().default(64_000)
-    private val agents by option("--agent", help = "heartbeat address of an agent; one worker runs beside each").multiple()
+    private val agents by option(
+        "--agent",
+        help = "heartbeat address of an agent; one worker runs beside each",
+    ).multiple()
 
     override fun help(context: Context): String = "Runs the users' key-value service, with a worker for each agent."
 
--- a/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerService.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerService.kt
@@ -35,7 +35,9 @@
 
     fun define(endpoints: Endpoints) = with(endpoints) {
         on(HttpMethod.Post, "/v1/run-start") { call -> order(call) { o -> start(o) } }
-        on(HttpMethod.Post, "/v1/run-stop") { call -> order(call) { o -> null.also { state.stop(o.task, o.run, clock()) } } }
+        on(HttpMethod.Post, "/v1/run-stop") { call ->
+            order(call) { o -> null.also { state.stop(o.task, o.run, clock()) } }
+        }
         on(HttpMethod.Post, "/v1/pace") { call -> order(call) { null } }
         on(HttpMethod.Post, "/v1/hold") { call -> hold(call) }
         debug(HttpMethod.Put, "/debug/drain") { Answer().also { isDraining = true } }
--- a/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerState.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerState.kt
@@ -1,7 +1,11 @@
 package org.camphorhall.dev.fleet
 
 /** What a worker of the users' platform runs. Times are milliseconds of its own clock. Not safe for concurrent use. */
-internal class FleetWorkerState(private val cpuCapacity: Long, private val oracle: FleetOracle, private val id: String) {
+internal class FleetWorkerState(
+    private val cpuCapacity: Long,
+    private val oracle: FleetOracle,
+    private val id: String,
+) {
     /** One task that runs. Its work is done after [runMillis]. */
     class Run(val task: String, val run: Int, val runMillis: Long, val cpu: Long, val startedAt: Long)
 
--- a/dev/src/main/kotlin/org/camphorhall/dev/fleet/TrainCommand.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/TrainCommand.kt
@@ -48,8 +48,14 @@
         val workerServer = TestServer.start(HOST, 0, worker.faults) { worker.define(this) }
         val address = { i: Int -> "$HOST:${ports[i]}" }
         val common = "\"instance\":\"trained\",\"store\":\"$HOST:${storeServer.port}\""
-        val agent = launchRole("agent", "{$common,\"heartbeats\":\"${address(0)}\",\"peers\":\"${address(1)}\",\"metrics\":\"${address(2)}\"}")
-        val entry = launchRole("entry", "{$common,\"callers\":\"${address(3)}\",\"readiness\":\"${address(4)}\",\"metrics\":\"${address(5)}\"}")
+        val agent = launchRole(
+            "agent",
+            """{$common,"heartbeats":"${address(0)}","peers":"${address(1)}","metrics":"${address(2)}"}""",
+        )
+        val entry = launchRole(
+            "entry",
+            """{$common,"callers":"${address(3)}","readiness":"${address(4)}","metrics":"${address(5)}"}""",
+        )
         try {
             scope.launch { worker.announce(address(0), "$HOST:${workerServer.port}") }
             work("http://$HOST:${storeServer.port}", "http://${address(3)}", "http://${address(4)}")
@@ -97,7 +103,9 @@
                 delay(JOB_PERIOD)
                 client.get("$entry/q/$id") { header(HttpHeaders.Host, "h.example") }.bodyAsText()
                 client.get("$entry/q/") { header(HttpHeaders.Host, "h.example") }.bodyAsText()
-                if (i % CANCEL_EVERY == 0) client.delete("$entry/q/$id") { header(HttpHeaders.Host, "h.example") }.bodyAsText()
+                if (i % CANCEL_EVERY == 0) {
+                    client.delete("$entry/q/$id") { header(HttpHeaders.Host, "h.example") }.bodyAsText()
+                }
             }
         }
     }
--- a/dev/src/test/kotlin/org/camphorhall/dev/fleet/FleetStoreAdapterTest.kt
+++ b/dev/src/test/kotlin/org/camphorhall/dev/fleet/FleetStoreAdapterTest.kt
@@ -4,7 +4,7 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.runBlocking
 import org.camphorhall.dev.http.TestServer
-import org.camphorhall.platform.fleet.FleetStore
+import org.camphorhall.platform.fleet.fleetStore
 import org.camphorhall.platform.store.StoreError
 import org.camphorhall.platform.store.StoreTransaction
 import org.camphorhall.platform.store.StoreTransaction.Write
@@ -22,7 +22,7 @@
 internal class FleetStoreAdapterTest {
     private val service = FleetStoreService()
     private val server = runBlocking { TestServer.start("127.0.0.1", 0, service.faults) { service.define(this) } }
-    private val store = FleetStore("127.0.0.1:${server.port}", 1.seconds, 500.milliseconds)
+    private val store = fleetStore("127.0.0.1:${server.port}", 1.seconds, 500.milliseconds)
 
     @AfterEach
     fun stop() = server.stop()
--- a/e2e/src/test/kotlin/org/camphorhall/e2e/PlatformNamesTest.kt
+++ b/e2e/src/test/kotlin/org/camphorhall/e2e/PlatformNamesTest.kt
@@ -10,7 +10,8 @@
 /** Guards against names of the users' platform outside the adapter, which would have to change with the platform. */
 class PlatformNamesTest {
     private val names = listOf(
-        "/v1/kv", "/v1/run", "/v1/hold", "/v1/pace", "/v1/ready", "/v1/instances", "/v1/machine", "op/config", "kv-", "X-Duty", "X-Fencing", "X-Expected", "X-Deadline", "last-seen", "until-ms",
+        "/v1/kv", "/v1/run", "/v1/hold", "/v1/pace", "/v1/ready", "/v1/instances", "/v1/machine",
+        "op/config", "kv-", "X-Duty", "X-Fencing", "X-Expected", "X-Deadline", "last-seen", "until-ms",
         "fencing-token", "store-revision", "slo-ms", "run-start", "saves-progress", "long-running\"", "mem-mb",
     )
 
--- a/e2e/src/test/kotlin/org/camphorhall/e2e/SchedulerDeployment.kt
+++ b/e2e/src/test/kotlin/org/camphorhall/e2e/SchedulerDeployment.kt
@@ -10,7 +10,9 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 
-/** The scheduler's real programs on loopback: the stand-ins of the users' platform, entries, and agents with workers. */
+/**
+ * The scheduler's real programs on loopback: the stand-ins of the users' platform, entries, and agents with workers.
+ */
 internal class SchedulerDeployment(private val dir: Path, workers: Int, entries: Int) : AutoCloseable {
     /** What the stand-in's oracle saw. */
     @Serializable
--- a/e2e/src/test/kotlin/org/camphorhall/e2e/SchedulerSoakTest.kt
+++ b/e2e/src/test/kotlin/org/camphorhall/e2e/SchedulerSoakTest.kt
@@ -11,8 +11,9 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Random faults against the scheduler's real programs. The oracle is what callers were told and what workers ran: no task
- * in two places or after its end, nothing of a refused job, and every accepted job completed once the faults are over.
+ * Random faults against the scheduler's real programs. The oracle is what callers were told and what workers ran: no
+ * task in two places or after its end, nothing of a refused job, and every accepted job completed once the faults are
+ * over.
  */
 class SchedulerSoakTest {
     @TempDir
--- a/process/src/main/kotlin/org/camphorhall/process/Program.kt
+++ b/process/src/main/kotlin/org/camphorhall/process/Program.kt
@@ -104,8 +104,11 @@
     private val serializer: KSerializer<S>,
     private val check: (S) -> List<SettingsProblem>,
 ) : CliktCommand(name) {
-    protected val settings: Path by option("--settings", help = "Settings file, JSON with comments", envvar = SETTINGS_VARIABLE)
-        .path().required()
+    protected val settings: Path by option(
+        "--settings",
+        help = "Settings file, JSON with comments",
+        envvar = SETTINGS_VARIABLE,
+    ).path().required()
 
     protected fun load(): S = readSettings(settings, serializer, check).fold({ problems ->
         problems.forEach { echo("$settings: $it", err = true) }
--- a/process/src/test/kotlin/org/camphorhall/process/ProgramTest.kt
+++ b/process/src/test/kotlin/org/camphorhall/process/ProgramTest.kt
@@ -66,7 +66,8 @@
     @Timeout(60)
     fun `SIGHUP reads the settings again and the process goes on`() = withChild("wait") { child, out ->
         expectThat(fields(out.readLine())["message"]) isEqualTo "started"
-        for ((text, message) in listOf("{\"behaviour\": \"end\"}" to "settings read again", "{" to "settings are invalid")) {
+        val cases = listOf("{\"behaviour\": \"end\"}" to "settings read again", "{" to "settings are invalid")
+        for ((text, message) in cases) {
             dir.resolve("s.json").writeText(text)
             ProcessBuilder("kill", "-HUP", "${child.pid()}").start().waitFor()
             expectThat(out.readLine()).contains(message)
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/Main.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/Main.kt
@@ -22,7 +22,8 @@
 )
 
 private class Scheduler : CliktCommand("camphorhall-scheduler") {
-    override fun help(context: Context) = "Scheduler of jobs with steps: an entry for callers, an agent beside each worker."
+    override fun help(context: Context) =
+        "Scheduler of jobs with steps: an entry for callers, an agent beside each worker."
 
     override fun run() = Unit
 }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/AgentProcess.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/AgentProcess.kt
@@ -13,9 +13,9 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import org.camphorhall.platform.fleet.FleetOperatorConfig
-import org.camphorhall.platform.fleet.FleetStore
-import org.camphorhall.platform.fleet.FleetTaskWorker
+import org.camphorhall.platform.fleet.fleetOperatorConfig
+import org.camphorhall.platform.fleet.fleetStore
+import org.camphorhall.platform.fleet.fleetTaskWorker
 import org.camphorhall.platform.fleet.fleetHeartbeats
 import org.camphorhall.platform.store.StoreTransaction
 import org.camphorhall.platform.store.TransactionalStore
@@ -65,10 +65,10 @@
     private val metrics = Metrics()
     private val storeCalls = metrics.counter("camphorhall_store_calls", "Calls to the key-value service", "call")
     private val store: TransactionalStore =
-        FleetStore(options.store, STORE_CONNECT, STORE_CALL) { storeCalls.labelValues(it.name).inc() }
+        fleetStore(options.store, STORE_CONNECT, STORE_CALL) { storeCalls.labelValues(it.name).inc() }
     private val channels = PeerChannels()
     private val keys = ShardKeys(ShardKeys.shardOf(options.instance, options.shards))
-    private val finder = OwnerFinder(store, keys, clock)
+    private val finder = OwnerFinder(store, keys)
     private val candidate = ShardCandidate(
         store,
         keys,
@@ -76,7 +76,7 @@
         options.peers,
         clock,
         OwnerClient(channels),
-        config = { onChange -> ConfigFollower(FleetOperatorConfig(store), clock, onChange).run() },
+        config = { onChange -> ConfigFollower(fleetOperatorConfig(store), clock, onChange).run() },
     )
     private val grpc = grpcServer(options.peers, SchedulerService { candidate.owner })
     private val http = httpServer(options.heartbeats) { fleetHeartbeats(options.instance, this@AgentProcess) }
@@ -135,7 +135,7 @@
 
         private val job: Job = scope.launch {
             val token = firstToken()
-            val worker = FleetTaskWorker(first.address, key.id, WORKER_CONNECT, WORKER_CALL)
+            val worker = fleetTaskWorker(first.address, key.id, WORKER_CONNECT, WORKER_CALL)
             val l = WorkerLink(profile, worker, token, clock)
             link = l
             l.profile = profile
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/OwnerLink.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/OwnerLink.kt
@@ -47,7 +47,8 @@
                 try {
                     attach(record)
                 } catch (e: StatusException) {
-                    logger.event(Level.INFO, "not connected to the owner", "owner" to record.address, "reason" to e.status)
+                    val address = record.address
+                    logger.event(Level.INFO, "not connected to the owner", "owner" to address, "reason" to e.status)
                 }
             }
             delay(RETRY)
@@ -64,7 +65,8 @@
             if (isNewest(record)) channels.replace(record.address, channel)
         }
         val stream = launch {
-            SchedulerCoroutineStub(channel).attach(reports()).collect { take(it.decode(OwnerMessage.serializer()), record) }
+            val answers = SchedulerCoroutineStub(channel).attach(reports())
+            answers.collect { take(it.decode(OwnerMessage.serializer()), record) }
         }
         launch {
             watchdog.join()
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
@@ -33,8 +33,8 @@
 private val logger = KotlinLogging.logger {}
 
 /**
- * The connection to one life of the worker beside the agent: keeps its lease, carries out orders and knows what it runs.
- * [firstToken] must be greater than any token that an earlier agent used on the worker.
+ * The connection to one life of the worker beside the agent: keeps its lease, carries out orders and knows what it
+ * runs. [firstToken] must be greater than any token that an earlier agent used on the worker.
  */
 internal class WorkerLink(
     profile: WorkerProfile,
@@ -64,7 +64,9 @@
     /** Time of the present lists on the worker's clock. */
     private var listedAt = 0L
     private var answeredAt = 0L
-    private var leaseSentUntil = 0L
+
+    /** An earlier agent may have extended the lease just before it ended. */
+    private var leaseSentUntil = clock.steady() + LONGEST_LEASE_MILLIS
     private var portClosed = 0
     private var summarizedAt = 0L
     private val stored = Channel<Unit>(Channel.CONFLATED)
@@ -105,8 +107,8 @@
     suspend fun learn(known: Map<TaskRef, TaskTraits>): Unit = lock.withLock { known.forEach(traits::putIfAbsent) }
 
     /**
-     * Makes sure that no start sent so far is carried out later, and reads the lists. Orders of an earlier connection are
-     * forgotten. Returns false if the worker does not answer.
+     * Makes sure that no start sent so far is carried out later, and reads the lists. Orders of an earlier connection
+     * are forgotten. Returns false if the worker does not answer.
      */
     suspend fun fence(): Boolean {
         lock.withLock {
@@ -181,9 +183,10 @@
             portClosed = 0
             // Answers on different connections may overtake each other; an older list says nothing new.
             val upTo = if (connection == orders.connection) ordersBefore else 0
-            if (lists.time.millis < listedAt || lists.time.millis == listedAt && upTo < listedOrders) return@withLock false
-            listedAt = lists.time.millis
-            lease.noteClock(lists.time.millis, now)
+            val time = lists.time.millis
+            if (time < listedAt || time == listedAt && upTo < listedOrders) return@withLock false
+            listedAt = time
+            lease.noteClock(time, now)
             val isNews = lists.ended.any { it.number > endsStored } || upTo > listedOrders ||
                 lists.running.size != running.size
             running = lists.running
@@ -284,7 +287,9 @@
         }
     }
 
-    /** Logs what the worker runs and how much of their targets and processors its tasks get, at most every two seconds. */
+    /**
+     * Logs what the worker runs and how much of their targets and processors its tasks get, at most every two seconds.
+     */
     private suspend fun summarize() {
         val now = clock.steady()
         if (now - summarizedAt < SUMMARY_MILLIS) return
@@ -326,6 +331,8 @@
     }
 
     private companion object {
+        /** The lease that owners grant. */
+        const val LONGEST_LEASE_MILLIS = 3_000L
         const val SUMMARY_MILLIS = 2_000L
 
         /** The worker answers after this time if nothing ends; leases are extended as often. */
@@ -338,7 +345,9 @@
         val STORE_WAIT = 150.milliseconds
         val RETRY = 50.milliseconds
 
-        /** The worker counts as unreachable after this time without an answer: a look lasts 0.8 s and has as long again. */
+        /**
+         * The worker counts as unreachable after this time without an answer: a look lasts 0.8 s and has as long again.
+         */
         const val SILENT_MILLIS = 1_700L
 
         /** Connections refused in a row after which the worker process counts as gone. */
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/EntryProcess.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/EntryProcess.kt
@@ -10,8 +10,8 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import org.camphorhall.platform.fleet.FleetOperatorConfig
-import org.camphorhall.platform.fleet.FleetStore
+import org.camphorhall.platform.fleet.fleetOperatorConfig
+import org.camphorhall.platform.fleet.fleetStore
 import org.camphorhall.platform.fleet.fleetCallers
 import org.camphorhall.platform.fleet.fleetReadiness
 import org.camphorhall.platform.store.TransactionalStore
@@ -53,10 +53,10 @@
     private val metrics = Metrics()
     private val storeCalls = metrics.counter("camphorhall_store_calls", "Calls to the key-value service", "call")
     private val store: TransactionalStore =
-        FleetStore(options.store, STORE_CONNECT, STORE_CALL) { storeCalls.labelValues(it.name).inc() }
+        fleetStore(options.store, STORE_CONNECT, STORE_CALL) { storeCalls.labelValues(it.name).inc() }
     private val channels = PeerChannels()
-    private val shards = List(options.shards) { OwnerFinder(store, ShardKeys(it), clock) }
-    private val config = ConfigFollower(FleetOperatorConfig(store), clock)
+    private val shards = List(options.shards) { OwnerFinder(store, ShardKeys(it)) }
+    private val config = ConfigFollower(fleetOperatorConfig(store), clock)
     private val intake = RealJobIntake(
         config = { config.config },
         records = JobRecords(store, options.shards, clock),
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/JobRecords.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/JobRecords.kt
@@ -52,7 +52,8 @@
         val keys = keysOf(id)
         return store.get(keys.progress(id)).flatMap { progress ->
             if (progress != null) {
-                Either.catch { documentJson.decodeFromString(ProgressRecord.serializer(), progress.value.decodeToString()) }
+                val text = progress.value.decodeToString()
+                Either.catch { documentJson.decodeFromString(ProgressRecord.serializer(), text) }
                     .mapLeft { StoreError.Uncertain("progress of $id not understood: ${it.message}") }
                     .map { it.phase }
             } else {
@@ -73,7 +74,8 @@
         var isOpen = false
         var tries = 0
         while (true) {
-            val error = store.put(key, value.encodeToByteArray(), expected = 0).leftOrNull() ?: return WriteResult.Stored
+            val error = store.put(key, value.encodeToByteArray(), expected = 0).leftOrNull()
+                ?: return WriteResult.Stored
             // Only this kind of write creates the key.
             if (error is StoreError.VersionMismatch) return WriteResult.Stored
             isOpen = isOpen || error is StoreError.Uncertain
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/Ownership.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/Ownership.kt
@@ -56,7 +56,8 @@
 
     /** Takes the shard if nobody owns it. Returns whether it was taken. */
     suspend fun tryTake(): Boolean {
-        if (store.get(keys.owner).getOrElse { return false } != null) return false
+        val isFree = store.get(keys.owner).fold({ false }, { it == null })
+        if (!isFree) return false
         val before = store.get(keys.epoch).getOrElse { return false }
         val last = before?.let { e -> decodeOwner(e.value).getOrElse { logDamaged(it); return false } }
         val reading = ClockReading(clock)
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardStore.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardStore.kt
@@ -29,7 +29,8 @@
 
     /** Reads all jobs with their progress. */
     suspend fun load(): Either<StoreError, Loaded> {
-        val progress = store.list(keys.progress).getOrElse { return it.left() }.items.associateBy { keys.progressOf(it.key) }
+        val stored = store.list(keys.progress).getOrElse { return it.left() }
+        val progress = stored.items.associateBy { keys.progressOf(it.key) }
         val inbox = store.list(keys.inbox).getOrElse { return it.left() }
         val cancelled = inbox.items.mapNotNull { keys.cancelledOf(it.key) }.toSet()
         val jobs = inbox.items.filter { keys.jobOf(it.key) != null }.mapNotNull(::jobOf).map { record ->
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/OwnerFinder.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/OwnerFinder.kt
@@ -20,7 +20,6 @@
 internal class OwnerFinder(
     private val store: TransactionalStore,
     private val keys: ShardKeys,
-    private val clock: Clock,
 ) {
     private val doubts = Channel<Unit>(Channel.CONFLATED)
 
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/WorkerLinkTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/WorkerLinkTest.kt
@@ -107,6 +107,12 @@
         expectThat(link.report(isFenced = true).ordersDone).isEqualTo(0)
     }
 
+    /** Guards against work that is placed again while the lease of an earlier agent may still hold. */
+    @Test
+    fun `a new agent takes the longest lease for granted until its worker answers`() = runTest {
+        expectThat(link().report(isFenced = false).leaseLeftMillis).isGreaterThan(2_999)
+    }
+
     /** Guards against a start that is sent without a lease and would end at once. */
     @Test
     fun `a start without a lease is refused`() = runTest {
