--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
@@ -189,13 +189,20 @@
             unsaved += job.record.id
             return
         }
-        val order = Order.Start(++w.lastOrder, t.ref, t.attempt, job.spec.payload, t.checkpoint, traitsOf(t))
+        val checkpoint = checkpointOf(job, t)
+        val order = Order.Start(++w.lastOrder, t.ref, t.attempt, job.spec.payload, checkpoint, traitsOf(t))
         t.order = OrderId(session, order.number)
         t.assignedAt = now
         t.progressAt = now
         memory.outputs += ShardOutput.Send(session, order)
     }
 
+    /** The members of a gang resume together, from the checkpoint of one of them. */
+    private fun checkpointOf(job: JobState, t: TaskState): String {
+        if (!t.spec.gang) return t.checkpoint
+        return job.step(t.ref)?.tasks?.firstOrNull { it.checkpoint.isNotEmpty() }?.checkpoint.orEmpty()
+    }
+
     private fun traitsOf(t: TaskState) =
         TaskTraits(t.spec.backfill, t.spec.latencyTargetMillis, t.spec.demand.cpuMillis, t.spec.image)
 
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardCandidate.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardCandidate.kt
@@ -37,9 +37,12 @@
     var owner: ShardOwner? = null
         private set
 
-    /** Runs for the lifetime of the process. */
+    @Volatile
+    private var isStopping = false
+
+    /** Runs until the process stops. */
     suspend fun run() {
-        while (true) {
+        while (!isStopping) {
             delay((POLL_MILLIS + Random.nextLong(JITTER_MILLIS)).milliseconds)
             // An unreadable store shows nothing; the shard is left alone then.
             val isOwned = findOwner(store, keys).fold({ true }, { it != null })
@@ -94,6 +97,7 @@
 
     /** Gives the shard up at a planned stop. */
     suspend fun resign() {
+        isStopping = true
         val shard = owner ?: return
         shard.close()
         ownership.resign()
