--- a/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetCommand.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetCommand.kt
@@ -44,6 +44,12 @@
             val worker = FleetWorkerService("worker-$i", service, cpu, oracle)
             val workerServer = TestServer.start(host, 0, worker.faults) { worker.define(this) }
             scope.launch { worker.announce(agent, "$host:${workerServer.port}") }
+            scope.launch {
+                while (true) {
+                    worker.tick()
+                    delay(WORKER_PERIOD)
+                }
+            }
             workerServer
         }
         val ports = workers.mapIndexed { i, w -> ",\"worker$i\":${w.port}" }.joinToString("")
@@ -55,5 +61,6 @@
 
     private companion object {
         val EXPIRY_PERIOD = 50.milliseconds
+        val WORKER_PERIOD = 10.milliseconds
     }
 }
--- a/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerService.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerService.kt
@@ -43,6 +43,9 @@
         debug(HttpMethod.Put, "/debug/drain") { Answer().also { isDraining = true } }
     }
 
+    /** Ends what is done or has no lease any more, as a worker does by itself. */
+    fun tick() = locked { expire(clock()) }
+
     /** Announces the worker to [address] until the process ends. */
     suspend fun announce(address: String, ownAddress: String) {
         val client = HttpClient(CIO)
--- a/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerState.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerState.kt
@@ -10,7 +10,10 @@
     class Run(val task: String, val run: Int, val runMillis: Long, val cpu: Long, val startedAt: Long)
 
     /** One end, as it is listed. */
-    class End(val number: Long, val task: String, val run: Int, val cause: String)
+    class End(val number: Long, val task: String, val run: Int, val cause: String) {
+        /** Whether the lease expired before the end was noted; it then does not count as noted. */
+        var isExpired = false
+    }
 
     val running = LinkedHashMap<String, Run>()
     val ended = mutableListOf<End>()
@@ -57,11 +60,13 @@
     /** Ends what is done, and everything when the lease has expired. */
     fun expire(now: Long) {
         running.values.filter { it.runMillis >= 0 && now - it.startedAt >= it.runMillis }.forEach { end(it.task, DONE) }
-        if (now >= leaseUntil) running.keys.toList().forEach { end(it, "lapsed") }
+        if (now < leaseUntil) return
+        running.keys.toList().forEach { end(it, "lapsed") }
+        ended.forEach { it.isExpired = true }
     }
 
     fun forget(upTo: Long) {
-        ended.filter { it.number <= upTo && it.cause == DONE }.forEach { oracle.noted(it.task) }
+        ended.filter { it.number <= upTo && it.cause == DONE && !it.isExpired }.forEach { oracle.noted(it.task) }
         ended.removeAll { it.number <= upTo }
     }
 
