Admit batch tasks beside the declared resources of throttled tasks

The agent charged throttled tasks with their reduced share when it admitted the next task, so a new task took processors that throttled tasks lend to requests only. Ruled out: the HTTP client; the decision alone shows it. Change: admission counts the declared resources of active tasks, and so does the load report that placement uses. Before: AgentAdmissionTest failed (a sixth task admitted beside shares 0.5, 0.5, 1, 1, 1).

--- a/core/src/main/kotlin/org/camphorhall/core/agent/AgentAttemptUtils.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/agent/AgentAttemptUtils.kt
@@ -22,7 +22,7 @@
         start.incarnation != state.incarnation -> Reason.AgentRestarted
         state.draining -> Reason.Draining
         now < state.opensAt -> Reason.NoCapacity
-        !(start.spec.resources + state.used + policy.headroom(state, now) fitsIn state.capacity!!) -> Reason.NoCapacity
+        !hasRoomFor(start.spec.resources) -> Reason.NoCapacity
         else -> null
     }
     val phase = if (refusal == null) AttemptPhase.Starting else AttemptPhase.Refused
@@ -32,6 +32,11 @@
     if (refusal == null) actions += AgentAction.StartTask(start.id, start.spec, until)
 }
 
+private fun AgentStep.hasRoomFor(task: Resources): Boolean {
+    val capacity = state.capacity ?: return false
+    return task + state.committed + policy.headroom(state, now) fitsIn capacity
+}
+
 /** Tells whether the start [id] belongs to an attempt that is known, was acknowledged or was superseded. */
 private fun AgentStep.isOutdated(id: AttemptId): Boolean {
     val held = state.attempts[id.task]?.id
--- a/core/src/main/kotlin/org/camphorhall/core/agent/AgentState.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/agent/AgentState.kt
@@ -50,6 +50,13 @@
         get() = running.values.fold(Resources.None) { sum, r -> sum + r.resources } +
             backends.values.fold(Resources.None) { sum, b -> sum + b.perRequest * b.orphans }
 
+    /**
+     * Resources of running requests, and the declared ones of active attempts. Processors that throttled attempts lend
+     * to requests count as taken, so that no other attempt gets them in between.
+     */
+    public val committed: Resources
+        get() = attempts.values.filter { it.phase.active }.fold(requestsUsed) { sum, a -> sum + a.spec.resources }
+
     /** Resources of active attempts. */
     public val tasksUsed: Resources get() = attempts.values.fold(Resources.None) { sum, a -> sum + a.charged }
 
--- a/core/src/main/kotlin/org/camphorhall/core/routing/WorkerInfo.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/routing/WorkerInfo.kt
@@ -21,6 +21,7 @@
     /** Moment on this process's clock at which the heartbeat of [anchor] was known. */
     val seenAt: MonotonicInstant,
     val capacity: Resources,
+    /** Declared resources of tasks and requests on the worker, also of throttled tasks. */
     val used: Resources,
     /** Resources that the agent keeps free for latency-critical requests. */
     val reserved: Resources,
--- a/wire/src/main/kotlin/org/camphorhall/wire/WorkerUtils.kt
+++ b/wire/src/main/kotlin/org/camphorhall/wire/WorkerUtils.kt
@@ -36,7 +36,7 @@
     return LoadReport.newBuilder()
         .addAllClasses(classes)
         .setCapacity((capacity ?: Resources.None).toMessage())
-        .setUsed(used.toMessage())
+        .setUsed(committed.toMessage())
         .setReserved(policy.headroom(this, now).toMessage())
         .setDraining(draining || !admits)
         .build()
