Log how long an attempt ran, and test the ways from a failed request to its cause

FailureTrailTest follows the ways of the page on the logs of our own processes: a refusal to the store outage, a late job to its lost worker, a pause to the change of owner. Before: JobShardAttemptsTest had no run time to find.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
@@ -52,7 +52,8 @@
             w.noteStored(end.number)
             return
         }
-        memory.note("attempt ended", task = t.ref, attempt = end.attempt, worker = w.key.id, detail = end.cause.name)
+        val ran = now - t.assignedAt
+        memory.note("attempt ended", null, t.ref, end.attempt, w.key.id, end.cause.name, ran)
         memory.unassign(w, t)
         if (end.checkpoint.isNotEmpty()) t.checkpoint = end.checkpoint
         when (end.cause) {
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/ShardMemory.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ShardMemory.kt
@@ -69,7 +69,8 @@
         attempt: Int? = null,
         worker: String? = null,
         detail: String? = null,
+        ranMillis: Long? = null,
     ) {
-        outputs += ShardOutput.Note(event, job ?: task?.job, task, attempt, worker, detail)
+        outputs += ShardOutput.Note(event, job ?: task?.job, task, attempt, worker, detail, ranMillis)
     }
 }
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/ShardOutput.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ShardOutput.kt
@@ -16,5 +16,7 @@
         val attempt: Int? = null,
         val worker: String? = null,
         val detail: String? = null,
+        /** Time from the assignment of the attempt to its end, in milliseconds. */
+        val ranMillis: Long? = null,
     ) : ShardOutput
 }
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/JobShardAttemptsTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/JobShardAttemptsTest.kt
@@ -215,4 +215,16 @@
         h.settle()
         expectThat(h.starts).isEmpty()
     }
+
+    /** Guards against logs that do not tell whether a late job waited for room or ran for long. */
+    @Test
+    fun `the end of an attempt is noted with its run time`() {
+        val h = ShardHarness()
+        h.report(1)
+        h.shard.accept(record(listOf(step(1))), h.now)
+        h.settle()
+        h.now += 700
+        h.report(1, running = emptyList(), ended = listOf(end(1, h.starts.single().second, EndCause.Done)))
+        expectThat(h.notes.single { it.event == "attempt ended" }.ranMillis).isEqualTo(700)
+    }
 }
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/ShardHarness.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/ShardHarness.kt
@@ -9,6 +9,7 @@
     val starts = mutableListOf<Pair<Long, Order.Start>>()
     val stops = mutableListOf<Pair<Long, Order.Stop>>()
     val acknowledged = mutableMapOf<Long, Long>()
+    val notes = mutableListOf<ShardOutput.Note>()
     val records = linkedMapOf<String, ProgressRecord>()
     private var revision = 0L
 
@@ -66,7 +67,7 @@
                     is Order.Stop -> stops += o.session to order
                 }
                 is ShardOutput.AcknowledgeEnds -> acknowledged[o.session] = o.number
-                is ShardOutput.Note -> Unit
+                is ShardOutput.Note -> notes += o
             }
         }
     }
--- /dev/null
+++ b/e2e/src/test/kotlin/org/camphorhall/e2e/FailureTrailTest.kt
@@ -0,0 +1,95 @@
+package org.camphorhall.e2e
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.jsonObject
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEmpty
+import strikt.assertions.isNotNull
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** The ways of docs/OPERATIONS.md from the id of a failed or late request to its cause, with nothing but the logs. */
+internal class FailureTrailTest {
+    @TempDir
+    lateinit var dir: Path
+
+    private class Line(val process: String, val fields: JsonObject) {
+        val message = text("message")
+
+        fun text(field: String): String? = (fields[field] as? JsonPrimitive)?.content
+    }
+
+    /** Guards against a refusal whose log line does not name its cause. */
+    @Test
+    fun `a refused request leads to the outage of the store`() = withDeployment { d ->
+        d.storeFaults("""{"outage":true}""")
+        expectThat(d.submit(d.entries[0], REQUEST, runMillis = 100)).isEqualTo(503)
+        d.storeFaults("{}")
+        val answer = awaitLine { it.message == "request answered" && it.text("job") == REQUEST }
+        expectThat(answer.text("answer")).isNotNull().contains("Refused")
+        val cause = lines().filter { it.process == answer.process }
+            .filter { it.message == "record not written" || it.message == "configuration not read" }
+        expectThat(cause.mapNotNull { it.text("reason") }).isNotEmpty()
+    }
+
+    /** Guards against a late job whose log does not name the worker that was lost. */
+    @Test
+    fun `a job that was late leads to the worker that it lost`() = withDeployment { d ->
+        expectThat(d.submit(d.entries[0], REQUEST, runMillis = 6_000)).isEqualTo(SchedulerDeployment.OK)
+        until("the job runs") { d.runs().started.any { it.startsWith(REQUEST) } }
+        d.agents.forEach { it.kill() }
+        // Longer than the lease of a worker (3 s), so that its tasks end before they are done.
+        Thread.sleep(5_000)
+        d.agents.forEach { it.restart() }
+        until("the job completes") { d.state(d.entries[0], REQUEST) == "completed" }
+        val trail = lines().filter { it.text("job") == REQUEST }
+        val lost = trail.filter { it.message == "attempt lost" || it.text("detail") == "LeaseExpired" }
+        expectThat(lost.mapNotNull { it.text("worker") }).isNotEmpty()
+        expectThat(trail.last { it.message == "job ended" }.text("detail")).isEqualTo("Completed")
+    }
+
+    /** Guards against a pause without a trace: nothing starts between the loss of an owner and the next one. */
+    @Test
+    fun `a job that stood still leads to the change of its owner`() = withDeployment { d ->
+        val first = awaitLine { it.message == "shard taken" }
+        expectThat(d.submit(d.entries[0], REQUEST, runMillis = 500)).isEqualTo(SchedulerDeployment.OK)
+        d.agents.single { it.name == first.process }.kill()
+        until("the job completes") { d.state(d.entries[0], REQUEST) == "completed" }
+        val next = lines().filter { it.message == "shard taken" && it.process != first.process }
+        expectThat(next.mapNotNull { it.text("epoch") }).isNotEmpty()
+        expectThat(next.all { it.epoch() > first.epoch() }).isEqualTo(true)
+    }
+
+    private fun Line.epoch(): Long = text("epoch")?.toLong() ?: 0
+
+    private fun withDeployment(test: (SchedulerDeployment) -> Unit) {
+        SchedulerDeployment(dir, workers = 3, entries = 1).use { d ->
+            until("the entry accepts a job") { d.submit(d.entries[0], FIRST, 100) == SchedulerDeployment.OK }
+            test(d)
+        }
+    }
+
+    private fun awaitLine(matches: (Line) -> Boolean): Line = eventually("the line is logged") {
+        lines().firstOrNull(matches)
+    }
+
+    /** All log lines, in the order of their processes. */
+    private fun lines(): List<Line> = Files.list(dir).use { files -> files.filter { "$it".endsWith(".log") }.toList() }
+        .flatMap { log ->
+            // A line that is being written is not complete.
+            Files.readString(log).substringBeforeLast('\n').lineSequence().filter { it.startsWith("{") }
+                .mapNotNull { runCatching { Json.parseToJsonElement(it).jsonObject }.getOrNull() }
+                .map { Line(log.fileName.toString().removeSuffix(".log"), it) }
+        }
+
+    private companion object {
+        const val FIRST = "00000000000000f0"
+        const val REQUEST = "00000000000000f1"
+    }
+}
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
@@ -260,6 +260,7 @@
             "attempt" to n.attempt,
             "worker" to n.worker,
             "detail" to n.detail,
+            "ranMillis" to n.ranMillis,
             "epoch" to epoch,
         )
     }
