Keep what is known of a task until a list asked for after its start lacks it

The agent forgot the traits of a task when a list of the worker lacked it. A list that the worker wrote just before a start can be read just after the answer to the start; the agent then forgot the target of a serving task, or that a task is backfill, until its next connection, and did not throttle. Ruled out: the throttle itself, which reaches 0 % within 2 s when it knows the tasks. Change: traits stay until a list that was asked for after the answer to the start lacks the task. Before: WorkerLinkTest "a serving task keeps its target although an earlier list does not have it" failed (nothing throttled). After: it passes.

--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
@@ -53,6 +53,9 @@
     private val lease = WorkerLease()
     private val throttle = BackfillThrottle()
     private val traits = HashMap<TaskRef, TaskTraits>()
+
+    /** When the starts of the tasks of [traits] were answered. */
+    private val startedAt = HashMap<TaskRef, Long>()
     private val orders = OrderLedger()
     private var token = firstToken
     private var running = emptyList<AttemptRow>()
@@ -158,10 +161,10 @@
         val call = lock.withLock {
             val until = lease.untilOnWorker(clock.steady())
             if (until != null) leaseSentUntil = maxOf(leaseSentUntil, lease.grantedUntil)
-            LookCall(token, endsStored, until, orders.connection, orders.doneUpTo)
+            LookCall(token, endsStored, until, orders.connection, orders.doneUpTo, clock.steady())
         }
         return when (val r = worker.hold(call.token, call.endsStored, call.until, wait)) {
-            is Either.Right -> null.also { take(r.value, call.connection, call.ordersBefore) }
+            is Either.Right -> null.also { take(r.value, call) }
             is Either.Left -> r.value.also { noteError(it) }
         }
     }
@@ -173,16 +176,17 @@
         val connection: Int,
         /** Orders that were carried out before the call. */
         val ordersBefore: Long,
+        val sentAt: Long,
     )
 
-    private suspend fun take(lists: WorkerLists, connection: Int, ordersBefore: Long) {
+    private suspend fun take(lists: WorkerLists, call: LookCall) {
         val now = clock.steady()
         val isNews = lock.withLock {
             if (answeredAt != 0L && now - answeredAt >= SILENT_MILLIS) logger.event(Level.INFO, "worker answers again")
             answeredAt = now
             portClosed = 0
             // Answers on different connections may overtake each other; an older list says nothing new.
-            val upTo = if (connection == orders.connection) ordersBefore else 0
+            val upTo = if (call.connection == orders.connection) call.ordersBefore else 0
             val time = lists.time.millis
             if (time < listedAt || time == listedAt && upTo < listedOrders) return@withLock false
             listedAt = time
@@ -192,12 +196,19 @@
             running = lists.running
             ended = lists.ended
             listedOrders = maxOf(listedOrders, upTo)
-            traits.keys.retainAll { it in orders.starting || running.any { row -> row.task == it } }
+            forgetTraits(call.sentAt)
             isNews
         }
         if (isNews) news.trySend(Unit)
     }
 
+    /** Forgets tasks that have ended. Lists asked for at [sentAt] may lack tasks whose start was answered since. */
+    private fun forgetTraits(sentAt: Long) {
+        val listed = running.mapTo(HashSet()) { it.task }
+        traits.keys.retainAll { it in orders.starting || it in listed || (startedAt[it] ?: 0) >= sentAt }
+        startedAt.keys.retainAll(traits.keys)
+    }
+
     private suspend fun noteError(error: WorkerError) {
         logger.event(Level.WARN, "worker does not answer", "worker" to profile.key, "reason" to error)
         lock.withLock {
@@ -234,7 +245,12 @@
                 is StartAnswer.Unknown -> settle(order, answer.detail)
             }
         } finally {
-            withContext(NonCancellable) { lock.withLock { orders.starting -= order.task } }
+            withContext(NonCancellable) {
+                lock.withLock {
+                    orders.starting -= order.task
+                    startedAt[order.task] = clock.steady()
+                }
+            }
         }
     }
 
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/WorkerLinkTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/WorkerLinkTest.kt
@@ -26,6 +26,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
 import strikt.assertions.isTrue
 
 @OptIn(ExperimentalCoroutinesApi::class)
@@ -89,6 +90,38 @@
         run.cancel()
     }
 
+    /**
+     * Guards against backfill tasks that go on at full speed beside a serving task over its target: the list that was
+     * on its way when the serving task started does not have it.
+     */
+    @Test
+    fun `a serving task keeps its target although an earlier list does not have it`() = runTest {
+        val link = prepared()
+        val run = launch { link.run() }
+        runCurrent()
+        val early = worker.holds.receive()
+        val backfill = task.copy(index = 1)
+        val orders = listOf(
+            startOrder(1).copy(traits = TaskTraits(latencyTargetMillis = 50)),
+            startOrder(2).copy(task = backfill, traits = TaskTraits(backfill = true)),
+        )
+        for (o in orders) {
+            val order = launch { link.execute(o) }
+            runCurrent()
+            worker.starts.receive().answer.complete(StartAnswer.Started)
+            order.join()
+        }
+        early.answer(lists(1_010))
+        runCurrent()
+        testScheduler.advanceTimeBy(600)
+        val rows = listOf(AttemptRow(task, 1, percent = 100, load = 120), AttemptRow(backfill, 1, load = 900))
+        worker.holds.receive().answer(WorkerLists(WorkerTime(1_500), rows, emptyList()))
+        runCurrent()
+        expectThat(worker.shares.map { it.first }).containsExactly(backfill)
+        expectThat(worker.shares.single().second).isLessThan(100)
+        run.cancel()
+    }
+
     /** Guards against a start that is carried out after it was reported as refused. */
     @Test
     fun `a start without an answer is reported only after the worker was fenced`() = runTest {
