Let backfill tasks use the reserve of serving tasks by what their images are learned to disturb

Room for backfill tasks was what other tasks do not declare; the platform gives them what is unused. Change: on workers without serving tasks, backfill tasks count with the processors that they use. Beside serving tasks they may also use half of what these declare, as long as their images together are learned to add at most a quarter of a target: ImageDisturbance, from the differences between the figures of a worker.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
@@ -14,7 +14,7 @@
     private val jobs = memory.jobs
     private val workers = memory.workers
     private val unsaved = memory.unsaved
-    private val scheduling = TaskScheduling(settings)
+    private val scheduling = TaskScheduling(settings, memory.disturbance)
     private val reports = ReportHandling(memory, settings)
     private val moves = TaskMoves(memory, settings, scheduling)
 
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShardSettings.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShardSettings.kt
@@ -19,6 +19,11 @@
     val throttledPercent: Int = 50,
     /** A backfill task is moved at the earliest after this time, so that it does not move again and again. */
     val moveAfterMillis: Long = 2_000,
+    /**
+     * Age of an attempt from which the figures of its worker cover only its work: the start takes up to 0.6 s from a
+     * checkpoint, a figure covers 0.5 s and is reported up to 0.8 s later.
+     */
+    val measuredAfterMillis: Long = 2_000,
     /** A job without anything running for this long gets one backfill task started beside those of other jobs. */
     val starvedAfterMillis: Long = 1_500,
     /** How long finished jobs stay known after their end; callers may ask for two minutes. */
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
@@ -23,6 +23,7 @@
         report.refused.forEach { takeRefusal(w, it) }
         if (report.gone) memory.releaseAll(w, "worker process is gone") else takeList(w, report, now)
         if (report.reachable) w.isListed = true
+        learnDisturbance(w)
         memory.acknowledge(w)
     }
 
@@ -112,6 +113,13 @@
         }
     }
 
+    private fun learnDisturbance(w: WorkerState) {
+        val before = w.figure
+        val after = w.sharedFigure()
+        w.figure = after
+        if (before != null && after != null && before.serving == after.serving) memory.disturbance.learn(before, after)
+    }
+
     private fun isOrderDone(t: TaskState, w: WorkerState, report: WorkerReport): Boolean {
         // A task without an order waits for its record to be stored.
         val order = t.order ?: return false
@@ -122,7 +130,7 @@
         if (row.checkpoint.isNotEmpty()) t.checkpoint = row.checkpoint
         if (row.percent != t.percent) t.progressAt = now
         t.percent = row.percent
-        t.load = row.load
+        if (now - t.assignedAt >= settings.measuredAfterMillis) t.load = row.load
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/ShardMemory.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ShardMemory.kt
@@ -11,6 +11,7 @@
     /** Jobs whose present state is not stored. */
     val unsaved = LinkedHashSet<String>()
     val outputs = mutableListOf<ShardOutput>()
+    val disturbance = ImageDisturbance()
 
     /** Classes of work in force; null before the first configuration. */
     var classes: Map<String, JobClass>? = null
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TaskScheduling.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TaskScheduling.kt
@@ -6,6 +6,7 @@
  */
 internal class TaskScheduling(
     private val settings: JobShardSettings,
+    private val disturbance: ImageDisturbance,
     private val policy: PlacementPolicy = separateServingFromBackfill,
 ) {
     /** Assigns what fits now and returns the tasks that were assigned. */
@@ -126,10 +127,19 @@
         return if (usable.isEmpty()) null else policy(t, usable)
     }
 
-    private fun fits(step: StepState, t: TaskState, w: WorkerState): Boolean = mayRun(step, t, w) && (
-        // A task that is larger than the idle processors of any worker still gets one for itself.
-        !t.spec.backfill || w.backfillRoom >= t.spec.demand.cpuMillis || w.backfillCpu == 0L && w.servingCpu == 0L
-        )
+    private fun fits(step: StepState, t: TaskState, w: WorkerState): Boolean =
+        mayRun(step, t, w) && (!t.spec.backfill || hasBackfillRoom(t, w))
+
+    private fun hasBackfillRoom(t: TaskState, w: WorkerState): Boolean {
+        val cpu = t.spec.demand.cpuMillis
+        return when {
+            w.backfillRoom >= cpu -> true
+            // A task that is larger than the idle processors of any worker still gets one for itself.
+            w.servingCpu == 0L -> w.backfillCpu == 0L
+            else -> w.reserveRoom >= cpu &&
+                disturbance.of(w.backfillUse(t) { it.spec.demand.cpuMillis }) <= ImageDisturbance.TOLERATED
+        }
+    }
 
     /** Whether the worker has the labels and the unreserved room that the task needs. */
     private fun mayRun(step: StepState, t: TaskState, w: WorkerState): Boolean {
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TaskState.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TaskState.kt
@@ -24,11 +24,16 @@
     /** Run time of the attempt that ended done, in milliseconds; 0 if unknown. */
     var doneAfter = 0L
     var percent = 0
-    var load = 0L
+
+    /** The last figure of its worker for the attempt; null until there is one that covers only the attempt. */
+    var load: Long? = null
 
     /** When [percent] changed last. */
     var progressAt = 0L
 
+    /** Processors that a task without target uses, or its demand until they are known, in thousandths of a core. */
+    val usedCpu: Long get() = load ?: spec.demand.cpuMillis
+
     val isWaiting: Boolean get() = !done && worker == null
 
     /** Takes the task from its worker; it waits for the next attempt unless it is [done]. */
@@ -37,7 +42,7 @@
         order = null
         stopSentAt = null
         percent = 0
-        load = 0
+        load = null
     }
 }
 
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/PlacementTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/PlacementTest.kt
@@ -88,6 +88,41 @@
         expectThat(h.starts.drop(4).map { it.first }).isEqualTo(listOf(free))
     }
 
+    /**
+     * Guards against idle processors beside waiting backfill tasks: estimates are often too large, and what a worker
+     * leaves unused is known from its reports. Load: more backfill work than fits by its estimates.
+     */
+    @Test
+    fun `backfill tasks take what others declared and do not use`() {
+        val used = mapOf(1_000L to 4, 2_500L to 3, 4_000L to 2)
+        for ((load, started) in used) {
+            val h = ShardHarness()
+            h.report(1)
+            h.shard.accept(record(listOf(step(5, cpu = 4_000).copy(backfill = true))), h.now)
+            h.settle()
+            expectThat(h.starts).hasSize(2)
+            repeat(6) {
+                h.now += 500
+                h.report(1, running = h.rows(1).map { it.copy(load = if (h.starts.size == 2) load else 4_000) })
+            }
+            val case = "tasks of 4,000 that use $load of 10,000"
+            expectThat(h.starts).describedAs(case).hasSize(started)
+        }
+    }
+
+    /** Guards against processors that stay unused because serving tasks keep them in reserve. */
+    @Test
+    fun `a backfill task of an unknown image takes what serving tasks keep in reserve`() {
+        val h = ShardHarness()
+        h.report(1)
+        val serving = step(2, cpu = 5_000).copy(longRunning = true, latencyTargetMillis = 50)
+        h.shard.accept(record(listOf(serving), id = "00000000000000b1"), h.now)
+        h.shard.accept(record(listOf(step(9, cpu = 1_000).copy(backfill = true)), id = "00000000000000b2"), h.now)
+        h.settle()
+        val started = h.starts.groupingBy { it.second.task.job }.eachCount()
+        expectThat(started).isEqualTo(mapOf("00000000000000b1" to 2, "00000000000000b2" to 1))
+    }
+
     /** Guards against a job that never starts because other backfill work keeps all idle processors. */
     @Test
     fun `a job without anything running gets one backfill task`() {
