Split the figure of a shared worker from what is learned of it, and rename for readers

Cause: read as a newcomer, ImageDisturbance.kt held two types, ShardSet.free said neither what it frees nor that it only deletes a record, ShardHost.stay is the counterpart of drain, and a call of note passed six values by position. Change: SharedFigure has a file of its own; deleteRecord, resume, named arguments; the doc comment says why differences are learned from. No behaviour and no test changes. PlacementTest, JobShard*Test, ImageDisturbanceTest, ShardSetTest and ArchitectureTest pass; all modules build; the linter is clean.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/ImageDisturbance.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ImageDisturbance.kt
@@ -4,9 +4,9 @@
  * Learns how much backfill tasks of an image slow down the serving tasks beside them.
  *
  * Load pattern: serving tasks whose load swings within seconds, beside backfill tasks of several images, of which some
- * disturb several times more than others. The difference between two figures of a worker is explained by the changes
- * of the processors that each image uses, since their own load changes the latency of serving tasks more slowly than a
- * start, an end or a throttle. The weights follow by normalized least mean squares.
+ * disturb several times more than others. The load of serving tasks changes their latency more slowly than a start, an
+ * end or a throttle of a backfill task does. The weights of the images are therefore fitted, by normalized least mean
+ * squares, to the differences between consecutive figures of a worker.
  */
 internal class ImageDisturbance {
     /** Latency as a part of its target that an image adds per whole worker in use. */
@@ -51,13 +51,3 @@
         private const val LEAST_POWER = 0.001
     }
 }
-
-/** What a worker with serving and backfill tasks reported at one time. */
-internal class SharedFigure(
-    /** Greatest tail latency of the serving tasks as a part of its target. */
-    val pressure: Double,
-    /** Parts of the worker's processors that backfill tasks use, by image. */
-    val use: Map<String, Double>,
-    /** The serving tasks; figures with others cannot be compared. */
-    val serving: Set<TaskRef>,
-)
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
@@ -54,7 +54,14 @@
             return
         }
         val ran = now - t.assignedAt
-        memory.note("attempt ended", null, t.ref, end.attempt, w.key.id, end.cause.name, ran)
+        memory.note(
+            "attempt ended",
+            task = t.ref,
+            attempt = end.attempt,
+            worker = w.key.id,
+            detail = end.cause.name,
+            ranMillis = ran,
+        )
         memory.unassign(w, t)
         if (end.checkpoint.isNotEmpty()) t.checkpoint = end.checkpoint
         when (end.cause) {
--- a/entry/src/main/kotlin/org/camphorhall/entry/shard/ShardHost.kt
+++ b/entry/src/main/kotlin/org/camphorhall/entry/shard/ShardHost.kt
@@ -160,7 +160,7 @@
     }
 
     /** Takes commands again after [drain]. */
-    fun stay() {
+    fun resume() {
         leaving = false
     }
 
--- a/entry/src/main/kotlin/org/camphorhall/entry/shard/ShardSet.kt
+++ b/entry/src/main/kotlin/org/camphorhall/entry/shard/ShardSet.kt
@@ -49,7 +49,7 @@
         var moves = 0
         while (true) {
             hosts.values.filter { it.lost }.forEach { hosts.remove(it.shard, it) }
-            unreleased.forEach { (shard, epoch) -> free(shard, epoch) }
+            unreleased.forEach { (shard, epoch) -> deleteRecord(shard, epoch) }
             takeFree()
             // Shards move to a new entry one at a time, so that a joining entry does not stop all work at once.
             if (++moves % MOVE_EVERY == 0) giveUpOne()
@@ -101,15 +101,15 @@
         val reached = store.get(StoreKeys.owner(host.shard)).onLeft { e ->
             logger.warn { "keeping shard ${host.shard}, which ranks another entry first: $e" }
         }.isRight()
-        if (!reached) return host.stay()
+        if (!reached) return host.resume()
         host.close()
         hosts.remove(host.shard, host)
         unreleased[host.shard] = host.epoch
-        free(host.shard, host.epoch)
+        deleteRecord(host.shard, host.epoch)
     }
 
     /** Deletes the record of a shard that was given up, so that another entry can take it. */
-    private suspend fun free(shard: Int, epoch: Long) {
+    private suspend fun deleteRecord(shard: Int, epoch: Long) {
         val error = store.delete(StoreKeys.owner(shard), epoch).leftOrNull()
         if (error == null || error is StoreError.VersionMismatch) {
             unreleased.remove(shard, epoch)
