Start servers without the parser of command lines, Jackson and configuration search

Cause: a start of the scheduler's roles loaded 4,818 classes (agent), among them 391 of Jackson for log lines and 115 of the argument parser; string concatenations and lambdas compiled to invokedynamic are linked again at each start, and Logback searched the class path for a configurator. Change: Kotlin compiles lambdas to classes and concatenations inline; log lines are encoded with the JSON library that is loaded anyway; `ROLE serve` with the settings file in the environment runs directly; deployments name the logging provider.

--- a/dev/src/main/kotlin/org/camphorhall/dev/fleet/TrainCommand.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/TrainCommand.kt
@@ -83,10 +83,9 @@
             "org.camphorhall.scheduler.MainKt",
             role,
             "serve",
-            "--settings",
-            file.toString(),
         )
         return ProcessBuilder(command)
+            .apply { environment()["CAMPHORHALL_NODE_FILE"] = file.toString() }
             .redirectErrorStream(true)
             .redirectOutput(output.resolve("$role.training.log").toFile())
             .start()
--- a/process/src/main/kotlin/org/camphorhall/process/BindFailure.kt
+++ b/process/src/main/kotlin/org/camphorhall/process/BindFailure.kt
@@ -4,7 +4,7 @@
 import java.net.BindException
 
 /** Runs [start], which starts a server, and rethrows its I/O errors as [BindException]. */
-public fun <T> bindOrThrow(start: () -> T): T = try {
+public inline fun <T> bindOrThrow(start: () -> T): T = try {
     start()
 } catch (e: IOException) {
     throw BindException(e.message).apply { initCause(e) }
--- a/process/src/main/kotlin/org/camphorhall/process/LogConfigurator.kt
+++ b/process/src/main/kotlin/org/camphorhall/process/LogConfigurator.kt
@@ -6,10 +6,7 @@
 import ch.qos.logback.classic.spi.Configurator
 import ch.qos.logback.classic.spi.ILoggingEvent
 import ch.qos.logback.core.ConsoleAppender
-import ch.qos.logback.core.encoder.Encoder
 import ch.qos.logback.core.spi.ContextAwareBase
-import net.logstash.logback.encoder.LogstashEncoder
-import net.logstash.logback.fieldnames.LogstashCommonFieldNames.IGNORE_FIELD_INDICATOR
 import org.slf4j.Logger
 
 /**
@@ -20,7 +17,7 @@
     override fun configure(context: LoggerContext): Configurator.ExecutionStatus {
         val stdout = ConsoleAppender<ILoggingEvent>().apply {
             this.context = context
-            encoder = jsonLineEncoder(context)
+            encoder = JsonLineEncoder().apply { start() }
             start()
         }
         // If standard output is read too slowly, log lines are dropped; the threads that log never block.
@@ -49,11 +46,3 @@
         const val LOG_QUEUE_CAPACITY = 4_096
     }
 }
-
-/** Encodes an event as one line of JSON: time, message, logger, thread and level, then the fields of the event. */
-internal fun jsonLineEncoder(context: LoggerContext): Encoder<ILoggingEvent> = LogstashEncoder().apply {
-    this.context = context
-    fieldNames.version = IGNORE_FIELD_INDICATOR
-    fieldNames.levelValue = IGNORE_FIELD_INDICATOR
-    start()
-}
--- a/process/src/main/kotlin/org/camphorhall/process/Program.kt
+++ b/process/src/main/kotlin/org/camphorhall/process/Program.kt
@@ -12,23 +12,15 @@
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.options.versionOption
 import com.github.ajalt.clikt.parameters.types.path
-import io.github.oshai.kotlinlogging.KotlinLogging
-import io.github.oshai.kotlinlogging.Level
 import kotlinx.serialization.KSerializer
-import sun.misc.Signal
 import java.nio.file.Path
 import java.util.Properties
 import kotlin.system.exitProcess
 import kotlin.time.Duration
 
-private val logger = KotlinLogging.logger {}
-
 // The help formatter joins lines unless they end with NEL.
 private const val HARD_BREAK = "\u0085"
 
-/** Environment variable that names the settings file when the command line does not. */
-private const val SETTINGS_VARIABLE = "CAMPHORHALL_NODE_FILE"
-
 /** Version of all programs, from the properties that Maven adds to the jar; `dev` when run from class files. */
 public val programVersion: String by lazy {
     ExitCode::class.java.getResourceAsStream("/META-INF/maven/org.camphorhall/camphorhall-process/pom.properties")
@@ -47,15 +39,17 @@
     check: (S) -> List<SettingsProblem>,
     stopTimeout: Duration? = null,
     serve: suspend (S, ShutdownSignal) -> ExitCode,
-): CliktCommand = Root(name).subcommands(
-    Serve(serializer, check, stopTimeout, serve),
-    CheckConfig(serializer, check),
-    SampleConfig(sample),
-)
+): CliktCommand = program(ServerRole(name, serializer, check, stopTimeout, serve)) { sample }
+
+/** Builds the command line of [role]; see the other overload. */
+public fun program(role: ServerRole<*>, sample: () -> String): CliktCommand =
+    Root(role.name).subcommands(Serve(role), CheckConfig(role), SampleConfig(sample))
 
 /** Runs [command] with [args] and exits the process with its status; for use as the body of `main`. */
-public fun runProgram(command: CliktCommand, args: Array<String>) {
-    val status = statusOf(command, args)
+public fun runProgram(command: CliktCommand, args: Array<String>): Unit = exitWith(statusOf(command, args))
+
+/** Writes the queued log lines and exits the process with [status]. */
+public fun exitWith(status: Int) {
     flushLogs()
     exitProcess(status)
 }
@@ -93,71 +87,34 @@
     override fun run() = Unit
 }
 
-private abstract class SettingsCommand<S>(
-    name: String,
-    private val serializer: KSerializer<S>,
-    private val check: (S) -> List<SettingsProblem>,
-) : CliktCommand(name) {
+private abstract class SettingsCommand(name: String) : CliktCommand(name) {
     protected val settings: Path by option(
         "--settings",
         help = "Settings file, JSON with comments",
         envvar = SETTINGS_VARIABLE,
     ).path().required()
-
-    protected fun load(): S = readSettings(settings, serializer, check).fold({ problems ->
-        problems.forEach { echo("$settings: $it", err = true) }
-        throw ProgramResult(ExitCode.InvalidSettings.status)
-    }) { it }
 }
 
-private class Serve<S>(
-    private val serializer: KSerializer<S>,
-    private val check: (S) -> List<SettingsProblem>,
-    private val stopTimeout: Duration?,
-    private val serve: suspend (S, ShutdownSignal) -> ExitCode,
-) : SettingsCommand<S>("serve", serializer, check) {
+private class Serve(private val role: ServerRole<*>) : SettingsCommand("serve") {
     override fun help(context: Context) = "Run until SIGTERM or SIGINT. SIGHUP checks the settings file again."
 
-    /** Validates the file only. A running process keeps its settings; changes apply at the next start. */
-    private fun checkAgain(active: S) = readSettings(settings, serializer, check).fold(
-        { problems ->
-            logger.event(Level.ERROR, "settings are invalid, running settings kept", "problems" to problems)
-        },
-        { read ->
-            val isSame = read == active
-            logger.event(Level.INFO, "settings read again", "changed" to !isSame, "restartNeeded" to !isSame)
-        },
-    )
-
     override fun run() {
-        val s = load()
-        onHangup { checkAgain(s) }
-        val code = runUntilShutdown(stopTimeout) { serve(s, it) }
+        val code = role.run(settings)
         if (code != ExitCode.Ok) throw ProgramResult(code.status)
     }
 }
 
-private class CheckConfig<S>(serializer: KSerializer<S>, check: (S) -> List<SettingsProblem>) :
-    SettingsCommand<S>("check-config", serializer, check) {
+private class CheckConfig(private val role: ServerRole<*>) : SettingsCommand("check-config") {
     override fun help(context: Context) = "Check a settings file and list all errors."
 
     override fun run() {
-        load()
+        if (role.load(settings) == null) throw ProgramResult(ExitCode.InvalidSettings.status)
         echo("settings are valid")
     }
 }
 
-private class SampleConfig(private val sample: String) : CliktCommand("sample-config") {
+private class SampleConfig(private val sample: () -> String) : CliktCommand("sample-config") {
     override fun help(context: Context) = "Print a commented settings file."
 
-    override fun run() = echo(sample.trimEnd())
-}
-
-// Without a handler the JVM exits on SIGHUP.
-private fun onHangup(action: () -> Unit) {
-    try {
-        Signal.handle(Signal("HUP")) { action() }
-    } catch (e: IllegalArgumentException) {
-        logger.warn(e) { "SIGHUP cannot be handled on this system" }
-    }
+    override fun run() = echo(sample().trimEnd())
 }
--- a/process/src/test/kotlin/org/camphorhall/process/LogConfiguratorTest.kt
+++ b/process/src/test/kotlin/org/camphorhall/process/LogConfiguratorTest.kt
@@ -24,7 +24,7 @@
         val event = LoggingEvent("", logger, Level.WARN, message, cause, null)
         event.instant = Instant.ofEpochMilli(0)
         event.keyValuePairs = fields.map { (k, v) -> KeyValuePair(k, v) }
-        val line = jsonLineEncoder(context).encode(event).decodeToString()
+        val line = JsonLineEncoder().encode(event).decodeToString()
         expectThat(line.count { it == '\n' }).describedAs("lines of $line").isEqualTo(1)
         return Json.parseToJsonElement(line).jsonObject
     }
