Connect scheduler processes by framed JSON over one kind of socket

Cause: gRPC with Netty, Guava and protobuf made up 650 of the classes of a start, for one stream and one call that carried JSON texts; three HTTP servers built one pipeline each. An entry replaced its connection to a slow owner after each silence of 0.5 s. Garbled bytes on the port between processes wrote a stack trace for each connection. A loop that threw an unexpected exception ended for good while the process went on. Change: frames over the sockets of the library that already serves HTTP; requests have ids and share one connection, which is replaced only if nothing arrived on it since the request; malformed frames close their connection with one log line a second; one HTTP server for all addresses of a process; failed loops run again. A write through the owner waits as long as the caller does, in place of a limit that raced with the owner's own.

--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/OwnerLink.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/OwnerLink.kt
@@ -2,26 +2,22 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.github.oshai.kotlinlogging.Level
-import io.grpc.StatusException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.flow.Flow
-import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.camphorhall.process.event
 import org.camphorhall.scheduler.owner.ShardOwnerRecord
+import org.camphorhall.scheduler.peer.PeerConnection
+import org.camphorhall.scheduler.peer.PeerConnections
+import org.camphorhall.scheduler.peer.PeerFrame
 import org.camphorhall.scheduler.protocol.AgentMessage
 import org.camphorhall.scheduler.protocol.OwnerMessage
-import org.camphorhall.scheduler.protocol.decode
-import org.camphorhall.scheduler.protocol.documentOf
 import org.camphorhall.scheduler.support.Clock
 import org.camphorhall.scheduler.support.ClockReading
-import org.camphorhall.wire.PeerChannels
-import org.camphorhall.wire.proto.Document
-import org.camphorhall.wire.proto.SchedulerGrpcKt.SchedulerCoroutineStub
+import java.io.IOException
 import kotlin.time.Duration.Companion.milliseconds
 
 private val logger = KotlinLogging.logger {}
@@ -29,7 +25,7 @@
 /** Maintains the connection between a worker and the owner of its shard. [owner] returns the newest owner found. */
 internal class OwnerLink(
     private val link: WorkerLink,
-    private val channels: PeerChannels,
+    private val connections: PeerConnections,
     private val clock: Clock,
     private val owner: () -> ShardOwnerRecord?,
 ) {
@@ -48,9 +44,9 @@
             if (record != null) {
                 try {
                     attach(record)
-                } catch (e: StatusException) {
+                } catch (e: IOException) {
                     val address = record.address
-                    logger.event(Level.INFO, "connection to the owner failed", "owner" to address, "reason" to e.status)
+                    logger.event(Level.INFO, "connection to the owner failed", "owner" to address, "reason" to e.message)
                 }
             }
             delay(RETRY_DELAY)
@@ -58,33 +54,25 @@
     }
 
     private suspend fun attach(record: ShardOwnerRecord): Unit = coroutineScope {
-        val channel = channels.get(record.address)
-        channels.resetBackoff(record.address)
+        val connection = connections.open(record.address)
         synchronized(pendingReports) { pendingReports.clear() }
         lastResponseAt = clock.steady()
-        val watchdog = launch {
+        launch { sendReports(connection) }
+        launch {
             while (clock.steady() - lastResponseAt < responseTimeout.millis && isNewest(record)) delay(WATCHDOG_PERIOD)
-            if (isNewest(record)) {
-                responseTimeout.recordTimeout()
-                channels.replace(record.address, channel)
-            }
+            if (isNewest(record)) responseTimeout.recordTimeout()
+            connection.close()
         }
-        val stream = launch {
-            val messages = SchedulerCoroutineStub(channel).attach(reports())
-            messages.collect { handle(it.decode(OwnerMessage.serializer()), record) }
-        }
-        launch {
-            watchdog.join()
-            stream.cancel()
+        try {
+            connection.run { if (it is PeerFrame.FromOwner) handle(it.message, record) }
+        } finally {
+            coroutineContext.cancelChildren()
         }
-        stream.join()
-        coroutineContext.cancelChildren()
-        logger.event(Level.INFO, "connection to the owner ended", "owner" to record.address, "epoch" to record.epoch)
     }
 
     private fun isNewest(record: ShardOwnerRecord): Boolean = (owner()?.epoch ?: 0) <= record.epoch
 
-    private fun reports(): Flow<Document> = flow {
+    private suspend fun sendReports(connection: PeerConnection) {
         var isFenced = false
         var completeAt: Long? = null
         while (true) {
@@ -97,7 +85,7 @@
                 pendingReports[reading.steady] = reading
                 if (pendingReports.size > MAX_PENDING_REPORTS) pendingReports.remove(pendingReports.keys.first())
             }
-            emit(documentOf(AgentMessage.serializer(), AgentMessage(reading.steady, report)))
+            if (!connection.send(PeerFrame.FromAgent(AgentMessage(reading.steady, report)))) return
             withTimeoutOrNull(REPORT_PERIOD) { link.updates.receive() }
         }
     }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/SchedulerAgent.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/SchedulerAgent.kt
@@ -3,7 +3,6 @@
 import arrow.core.getOrElse
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.github.oshai.kotlinlogging.Level
-import io.ktor.server.routing.routing
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
@@ -17,7 +16,7 @@
 import org.camphorhall.platform.fleet.fleetOperatorConfig
 import org.camphorhall.platform.fleet.fleetStore
 import org.camphorhall.platform.fleet.fleetTaskWorker
-import org.camphorhall.platform.fleet.fleetHeartbeatRoutes
+import org.camphorhall.platform.fleet.respondFleetHeartbeat
 import org.camphorhall.platform.store.StoreCall
 import org.camphorhall.platform.store.StoreTransaction
 import org.camphorhall.platform.store.TransactionalStore
@@ -28,9 +27,11 @@
 import org.camphorhall.process.ShutdownSignal
 import org.camphorhall.process.bindOrThrow
 import org.camphorhall.process.event
-import org.camphorhall.process.operationRoutes
+import org.camphorhall.process.respondOperation
 import org.camphorhall.scheduler.owner.SchedulerService
 import org.camphorhall.scheduler.owner.ShardCandidate
+import org.camphorhall.scheduler.peer.PeerConnections
+import org.camphorhall.scheduler.peer.PeerServer
 import org.camphorhall.scheduler.support.ConfigWatcher
 import org.camphorhall.scheduler.support.JobRecordStore
 import org.camphorhall.scheduler.support.OwnerClient
@@ -38,8 +39,7 @@
 import org.camphorhall.scheduler.support.ShardKeys
 import org.camphorhall.scheduler.support.SystemClock
 import org.camphorhall.scheduler.support.httpServer
-import org.camphorhall.wire.PeerChannels
-import org.camphorhall.wire.grpcServer
+import org.camphorhall.scheduler.support.launchLoop
 import java.util.concurrent.Executors
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -76,7 +76,7 @@
         Executors.newSingleThreadScheduledExecutor { Thread(it, "ownership") }.asCoroutineDispatcher()
     }
 
-    private val channels = PeerChannels()
+    private val connections = PeerConnections()
     private val keys = ShardKeys(ShardKeys.shardOf(options.instance, options.shards))
     private val finder = OwnerFinder(store, keys)
     private val candidate = ShardCandidate(
@@ -95,24 +95,26 @@
         options.instance,
         options.peers,
         clock,
-        OwnerClient(channels),
+        OwnerClient(connections, scope),
         finder,
         config = { onChange -> ConfigWatcher(fleetOperatorConfig(store), clock, onChange).run() },
     )
     private val service = SchedulerService(JobRecordStore(store, options.shards)) { candidate.owner }
-    private val grpc = grpcServer(options.peers, service)
-    private val http = httpServer(options.heartbeats) { fleetHeartbeatRoutes(options.instance, this@SchedulerAgent) }
-    private val metricsHttp =
-        httpServer(options.metrics) { routing { operationRoutes(metrics) { incarnation != null } } }
+    private val peers = PeerServer(options.peers, scope, clock, service::serve)
+    private val http = httpServer(
+        mapOf(
+            options.heartbeats to { respondFleetHeartbeat(options.instance, this@SchedulerAgent) },
+            options.metrics to { respondOperation(metrics) { incarnation != null } },
+        ),
+    )
 
     @Volatile
     private var incarnation: WorkerIncarnation? = null
 
     suspend fun start() {
-        bindOrThrow { grpc.start() }
+        scope.launchLoop("shard candidate") { candidate.run() }
+        bindOrThrow { peers.start() }
         bindOrThrow { http.start(wait = false) }
-        bindOrThrow { metricsHttp.start(wait = false) }
-        scope.launch { candidate.run() }
         logger.event(Level.INFO, "agent started", "instance" to options.instance, "shards" to options.shards)
     }
 
@@ -170,9 +172,9 @@
             workerLink.profile = profile
             try {
                 coroutineScope {
-                    launch { workerLink.run() }
-                    launch { workerLink.health.run() }
-                    launch { OwnerLink(workerLink, channels, clock) { finder.owner }.run() }
+                    launchLoop("worker polls") { workerLink.run() }
+                    launchLoop("worker health") { workerLink.health.run() }
+                    launchLoop("owner connection") { OwnerLink(workerLink, connections, clock) { finder.owner }.run() }
                 }
             } finally {
                 workerLink.close()
@@ -212,9 +214,8 @@
 
     fun close() {
         http.stop(0, 0)
-        metricsHttp.stop(0, 0)
-        grpc.shutdownNow()
-        channels.close()
+        peers.close()
+        connections.close()
         if (ownershipThread.isInitialized()) ownershipThread.value.close()
     }
 
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/OwnerRequestClient.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/OwnerRequestClient.kt
@@ -35,10 +35,10 @@
             (sendOrNull(it, OwnerRequest.CountPending(classId)) as? OwnerResponse.PendingCount)?.jobs ?: return null
         }
 
-    /** Requests that the owner of the shard of [job] performs the write of [request]. */
-    suspend fun write(job: String, request: OwnerRequest): WriteResult =
-        send(ShardKeys.shardOf(job, shards.size), request, WRITE_TIMEOUT).fold(
-            { if (it.isPortClosed) WriteResult.Refused(it.detail) else WriteResult.Unknown(it.detail) },
+    /** Requests that the owner of the shard of [job] performs the write of [request], and waits for up to [timeout]. */
+    suspend fun write(job: String, request: OwnerRequest, timeout: Duration): WriteResult =
+        send(ShardKeys.shardOf(job, shards.size), request, timeout).fold(
+            { if (it.isNotSent) WriteResult.Refused(it.detail) else WriteResult.Unknown(it.detail) },
             { (it as? OwnerResponse.WriteOutcome)?.result ?: WriteResult.Refused("the owner does not write") },
         )
 
@@ -63,8 +63,5 @@
     private companion object {
         /** About a hundred times the usual response time. After it, callers' requests go to the store. */
         val REQUEST_TIMEOUT = 500.milliseconds
-
-        /** The owner's own call to the store has a timeout of 0.8 s. */
-        val WRITE_TIMEOUT = 900.milliseconds
     }
 }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/RecordWriter.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/RecordWriter.kt
@@ -8,6 +8,7 @@
 import org.camphorhall.process.event
 import org.camphorhall.scheduler.support.Clock
 import org.camphorhall.scheduler.support.WriteResult
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 private val logger = KotlinLogging.logger {}
@@ -25,7 +26,7 @@
     suspend fun write(
         deadline: Long,
         direct: suspend () -> WriteResult,
-        throughOwner: suspend () -> WriteResult,
+        throughOwner: suspend (timeout: Duration) -> WriteResult,
     ): WriteResult {
         var isUncertain = false
         while (true) {
@@ -36,7 +37,8 @@
             if (remaining <= 0) {
                 return if (isUncertain) WriteResult.Unknown("$storeResult, no time left for the owner") else storeResult
             }
-            val ownerResult = withTimeoutOrNull(remaining.milliseconds) { throughOwner() }
+            val timeout = remaining.milliseconds
+            val ownerResult = withTimeoutOrNull(timeout) { throughOwner(timeout) }
                 ?: WriteResult.Unknown(OWNER_TIMED_OUT)
             if (ownerResult.isFinal) {
                 return ownerResult.also { logger.event(Level.INFO, "record written through the owner") }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerEntry.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerEntry.kt
@@ -2,25 +2,24 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.github.oshai.kotlinlogging.Level
-import io.ktor.server.routing.routing
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.camphorhall.platform.fleet.fleetOperatorConfig
 import org.camphorhall.platform.fleet.fleetStore
-import org.camphorhall.platform.fleet.fleetJobRoutes
-import org.camphorhall.platform.fleet.fleetReadinessRoutes
+import org.camphorhall.platform.fleet.respondFleetJob
+import org.camphorhall.platform.fleet.respondFleetReadiness
 import org.camphorhall.platform.store.TransactionalStore
 import org.camphorhall.process.ExitCode
 import org.camphorhall.process.Metrics
 import org.camphorhall.process.ShutdownSignal
 import org.camphorhall.process.bindOrThrow
 import org.camphorhall.process.event
-import org.camphorhall.process.operationRoutes
+import org.camphorhall.process.respondOperation
+import org.camphorhall.scheduler.peer.PeerConnections
 import org.camphorhall.scheduler.support.ConfigWatcher
 import org.camphorhall.scheduler.support.JobRecordStore
 import org.camphorhall.scheduler.support.OwnerClient
@@ -28,7 +27,7 @@
 import org.camphorhall.scheduler.support.ShardKeys
 import org.camphorhall.scheduler.support.SystemClock
 import org.camphorhall.scheduler.support.httpServer
-import org.camphorhall.wire.PeerChannels
+import org.camphorhall.scheduler.support.launchLoop
 import kotlin.time.Duration.Companion.milliseconds
 
 private val logger = KotlinLogging.logger {}
@@ -55,32 +54,34 @@
     private val storeCalls = metrics.counter("camphorhall_store_calls", "Calls to the key-value service", "call")
     private val store: TransactionalStore =
         fleetStore(options.store, STORE_CONNECT_TIMEOUT, STORE_CALL_TIMEOUT) { storeCalls.labelValues(it.name).inc() }
-    private val channels = PeerChannels()
+    private val connections = PeerConnections()
     private val ownerFinders = List(options.shards) { OwnerFinder(store, ShardKeys(it)) }
     private val config = ConfigWatcher(fleetOperatorConfig(store), clock)
     private val intake = SchedulerJobIntake(
         config = { config.config },
         records = JobRecordStore(store, options.shards),
-        owners = OwnerRequestClient(OwnerClient(channels), ownerFinders),
+        owners = OwnerRequestClient(OwnerClient(connections, scope), ownerFinders),
         scope = scope,
         clock = clock,
         metrics = IntakeMetrics(metrics),
         writer = RecordWriter(clock),
         isConfigFresh = { clock.steady() - config.lastReadAt < MAX_CONFIG_AGE_MILLIS },
     )
-    private val callerServer = httpServer(options.callers) { fleetJobRoutes(intake) }
-    private val readinessServer = httpServer(options.readiness) { fleetReadinessRoutes(::isReady) }
-    private val metricsServer = httpServer(options.metrics) { routing { operationRoutes(metrics, ::isReady) } }
+    private val server = httpServer(
+        mapOf(
+            options.callers to { respondFleetJob(intake) },
+            options.readiness to { respondFleetReadiness(::isReady) },
+            options.metrics to { respondOperation(metrics, ::isReady) },
+        ),
+    )
 
     @Volatile
     private var isStopping = false
 
     fun start() {
-        bindOrThrow { callerServer.start(wait = false) }
-        bindOrThrow { readinessServer.start(wait = false) }
-        bindOrThrow { metricsServer.start(wait = false) }
-        ownerFinders.forEach { scope.launch { it.run() } }
-        scope.launch { config.run() }
+        scope.launchLoop("configuration") { config.run() }
+        ownerFinders.forEach { scope.launchLoop("owner lookup") { it.run() } }
+        bindOrThrow { server.start(wait = false) }
         logger.event(Level.INFO, "entry started", "instance" to options.instance, "shards" to options.shards)
     }
 
@@ -99,10 +100,8 @@
     }
 
     fun close() {
-        callerServer.stop(0, STOP_TIMEOUT_MILLIS)
-        readinessServer.stop(0, 0)
-        metricsServer.stop(0, 0)
-        channels.close()
+        server.stop(0, STOP_TIMEOUT_MILLIS)
+        connections.close()
     }
 
     private companion object {
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerJobIntake.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerJobIntake.kt
@@ -91,7 +91,7 @@
             writer.write(
                 deadline,
                 direct = { records.store(record).notifyOwner(record.id, OwnerRequest.JobStored(record)) },
-                throughOwner = { owners.write(record.id, OwnerRequest.StoreJob(record)) },
+                throughOwner = { owners.write(record.id, OwnerRequest.StoreJob(record), it) },
             ),
         )
 
@@ -99,7 +99,7 @@
         writer.write(
             deadline,
             direct = { records.storeCancellation(id).notifyOwner(id, OwnerRequest.CancellationStored(id)) },
-            throughOwner = { owners.write(id, OwnerRequest.StoreCancellation(id)) },
+            throughOwner = { owners.write(id, OwnerRequest.StoreCancellation(id), it) },
         ),
     )
 
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/AgentSession.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/AgentSession.kt
@@ -1,15 +1,13 @@
 package org.camphorhall.scheduler.owner
 
-import kotlinx.coroutines.channels.Channel
 import org.camphorhall.core.jobs.Interference
+import org.camphorhall.scheduler.peer.PeerConnection
+import org.camphorhall.scheduler.peer.PeerFrame
 import org.camphorhall.scheduler.protocol.OwnerMessage
 import kotlin.math.abs
 
 /** Connection of one agent to the shard owner. */
-internal class AgentSession(val id: Long) {
-    /** Queued messages to the agent. Few accumulate: the agent either keeps reading or closes the connection. */
-    val outgoing = Channel<OwnerMessage>(CAPACITY)
-
+internal class AgentSession(val id: Long, private val connection: PeerConnection) {
     /** Whether the profiles of the tasks on the worker were sent to the agent. */
     var hasTaskProfiles = false
 
@@ -35,15 +33,14 @@
         .filter { i -> sentWeights[i.serving to i.backfill]?.let { abs(it - i.weight) >= MIN_WEIGHT_CHANGE } ?: true }
         .onEach { sentWeights[it.serving to it.backfill] = it.weight }
 
-    /** Queues [message], or closes the connection if the queue is full. */
+    /** Queues [message], or closes the connection if the agent does not keep reading. */
     fun send(message: OwnerMessage) {
-        if (!outgoing.trySend(message).isSuccess) outgoing.close()
+        connection.send(PeerFrame.FromOwner(message))
     }
 
-    private companion object {
-        /** Holds several seconds of messages at the highest rate. */
-        const val CAPACITY = 1_024
+    fun close(): Unit = connection.close()
 
+    private companion object {
         /** Minimum time between two responses, well below the leases and response timeouts that depend on them. */
         const val RESPONSE_INTERVAL_MILLIS = 250L
 
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/SchedulerService.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/SchedulerService.kt
@@ -2,23 +2,16 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.github.oshai.kotlinlogging.Level
-import io.grpc.Status
-import io.grpc.StatusException
-import kotlinx.coroutines.flow.Flow
-import kotlinx.coroutines.flow.channelFlow
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import org.camphorhall.core.jobs.JobRecord
 import org.camphorhall.process.event
-import org.camphorhall.scheduler.protocol.AgentMessage
-import org.camphorhall.scheduler.protocol.OwnerMessage
+import org.camphorhall.scheduler.peer.PeerConnection
+import org.camphorhall.scheduler.peer.PeerFrame
 import org.camphorhall.scheduler.protocol.OwnerRequest
 import org.camphorhall.scheduler.protocol.OwnerResponse
-import org.camphorhall.scheduler.protocol.decode
-import org.camphorhall.scheduler.protocol.documentOf
 import org.camphorhall.scheduler.support.JobRecordStore
 import org.camphorhall.scheduler.support.WriteResult
-import org.camphorhall.wire.proto.Document
-import org.camphorhall.wire.proto.SchedulerGrpcKt.SchedulerCoroutineImplBase
 import java.util.concurrent.atomic.AtomicLong
 
 private val logger = KotlinLogging.logger {}
@@ -27,40 +20,58 @@
 internal class SchedulerService(
     private val records: JobRecordStore,
     private val owner: () -> ShardOwner?,
-) : SchedulerCoroutineImplBase() {
+) {
     private val lastSession = AtomicLong()
 
-    override fun attach(requests: Flow<Document>): Flow<Document> = channelFlow {
-        val shard = owner() ?: throw StatusException(Status.FAILED_PRECONDITION.withDescription("not the owner"))
-        val session = AgentSession(lastSession.incrementAndGet())
-        launch {
-            for (message in session.outgoing) send(documentOf(OwnerMessage.serializer(), message))
-            close(StatusException(Status.UNAVAILABLE.withDescription("connection closed by the owner")))
-        }
+    /** Serves [connection] until it ends. */
+    suspend fun serve(connection: PeerConnection): Nothing {
+        var attachment: Attachment? = null
         try {
-            requests.collect { shard.send(OwnerEvent.Reported(session, it.decode(AgentMessage.serializer()))) }
+            coroutineScope {
+                connection.run { frame ->
+                    when (frame) {
+                        is PeerFrame.Request -> launch {
+                            connection.send(PeerFrame.Response(frame.id, respond(frame.request)))
+                        }
+                        is PeerFrame.FromAgent -> {
+                            val current = attachment ?: attach(connection).also { attachment = it }
+                            current?.shard?.send(OwnerEvent.Reported(current.session, frame.message))
+                        }
+                        is PeerFrame.Response, is PeerFrame.FromOwner -> Unit
+                    }
+                }
+            }
         } finally {
+            attachment?.end()
+        }
+    }
+
+    /** Attaches the agent at [connection] to the shard. Closes the connection if this process is not the owner. */
+    private fun attach(connection: PeerConnection): Attachment? {
+        val shard = owner()
+        if (shard == null) connection.close()
+        return shard?.let { Attachment(it, AgentSession(lastSession.incrementAndGet(), connection)) }
+    }
+
+    private class Attachment(val shard: ShardOwner, val session: AgentSession) {
+        fun end() {
             logger.event(Level.INFO, "agent connection ended", "session" to session.id)
             shard.send(OwnerEvent.Detached(session))
-            session.outgoing.close()
         }
     }
 
-    override suspend fun ask(request: Document): Document {
-        val response = when (val ownerRequest = request.decode(OwnerRequest.serializer())) {
-            is OwnerRequest.StoreJob -> {
-                val result = records.store(ownerRequest.record)
-                if (result == WriteResult.Stored) notifyOwner(listOf(ownerRequest.record), emptyList())
-                OwnerResponse.WriteOutcome(result)
-            }
-            is OwnerRequest.StoreCancellation -> {
-                val result = records.storeCancellation(ownerRequest.id)
-                if (result == WriteResult.Stored) notifyOwner(emptyList(), listOf(ownerRequest.id))
-                OwnerResponse.WriteOutcome(result)
-            }
-            else -> owner()?.handleRequest(ownerRequest) ?: OwnerResponse.NotOwner
+    private suspend fun respond(request: OwnerRequest): OwnerResponse = when (request) {
+        is OwnerRequest.StoreJob -> {
+            val result = records.store(request.record)
+            if (result == WriteResult.Stored) notifyOwner(listOf(request.record), emptyList())
+            OwnerResponse.WriteOutcome(result)
+        }
+        is OwnerRequest.StoreCancellation -> {
+            val result = records.storeCancellation(request.id)
+            if (result == WriteResult.Stored) notifyOwner(emptyList(), listOf(request.id))
+            OwnerResponse.WriteOutcome(result)
         }
-        return documentOf(OwnerResponse.serializer(), response)
+        else -> owner()?.handleRequest(request) ?: OwnerResponse.NotOwner
     }
 
     private fun notifyOwner(jobs: List<JobRecord>, cancelled: List<String>) {
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
@@ -96,7 +96,7 @@
     fun close() {
         isClosed = true
         send(OwnerEvent.Tick)
-        sessions.values.forEach { it.outgoing.close() }
+        sessions.values.forEach { it.close() }
         var remaining = events.tryReceive().getOrNull()
         while (remaining != null) {
             (remaining as? OwnerEvent.RequestReceived)?.response?.complete(OwnerResponse.NotOwner)
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/OwnerClient.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/OwnerClient.kt
@@ -3,49 +3,140 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import io.grpc.ManagedChannel
-import io.grpc.Status
-import io.grpc.StatusException
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.camphorhall.process.event
+import org.camphorhall.scheduler.peer.PeerConnection
+import org.camphorhall.scheduler.peer.PeerConnections
+import org.camphorhall.scheduler.peer.PeerFrame
 import org.camphorhall.scheduler.protocol.OwnerRequest
 import org.camphorhall.scheduler.protocol.OwnerResponse
-import org.camphorhall.scheduler.protocol.decode
-import org.camphorhall.scheduler.protocol.documentOf
-import org.camphorhall.wire.PeerChannels
-import org.camphorhall.wire.proto.SchedulerGrpcKt.SchedulerCoroutineStub
+import java.io.IOException
 import java.net.ConnectException
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 
-/** Failure of a request to a peer. [isPortClosed] is true if no process listens at its address. */
-internal class PeerFailure(val detail: String, val isPortClosed: Boolean) {
+private val logger = KotlinLogging.logger {}
+
+/**
+ * Failure of a request to a peer. [isNotSent] is true if the request was never sent; [isPortClosed] also tells that no
+ * process listens at the address.
+ */
+internal class PeerFailure(val detail: String, val isPortClosed: Boolean, val isNotSent: Boolean = isPortClosed) {
     override fun toString(): String = detail
 }
 
-/** Sends requests to the processes that may own a shard. */
-internal class OwnerClient(private val channels: PeerChannels) {
+/** Sends requests to the processes that may own a shard, over one connection for each of them. */
+internal class OwnerClient(
+    private val connections: PeerConnections,
+    private val scope: CoroutineScope,
+    private val clock: Clock = SystemClock,
+) {
+    private val links = ConcurrentHashMap<String, Link>()
+
     /** Sends [request] to [address]; fails after [timeout] without a response. */
     suspend fun send(address: String, request: OwnerRequest, timeout: Duration): Either<PeerFailure, OwnerResponse> {
-        val channel = channels.get(address)
+        val startedAt = clock.steady()
+        val link = links.compute(address) { _, old -> old?.takeIf { !it.hasEnded } ?: Link(address) }!!
+        var isSent = false
         return try {
             val response = withTimeoutOrNull(timeout) {
-                SchedulerCoroutineStub(channel).ask(documentOf(OwnerRequest.serializer(), request))
+                val connection = link.connection.await()
+                isSent = true
+                link.ask(connection, request)
             }
-            response?.decode(OwnerResponse.serializer())?.right() ?: replaceSilentChannel(address, channel)
-        } catch (e: StatusException) {
-            channels.replaceOnTimeout(address, channel, e.status)
-            failureOf(e).left()
+            response?.right() ?: silent(link, startedAt, isSent)
+        } catch (e: ConnectException) {
+            remove(link)
+            PeerFailure("$address: ${e.message}", isPortClosed = true).left()
+        } catch (e: IOException) {
+            remove(link)
+            PeerFailure("$address: ${e.message}", isPortClosed = false, isNotSent = !isSent).left()
         }
     }
 
-    private fun replaceSilentChannel(address: String, channel: ManagedChannel): Either<PeerFailure, OwnerResponse> {
-        channels.replace(address, channel)
-        return PeerFailure("no answer from $address", isPortClosed = false).left()
+    /**
+     * A connection that has delivered nothing since the request was sent may be dead. One that has is only slow, and a
+     * new one would cost the peer more time.
+     */
+    private fun silent(link: Link, startedAt: Long, isSent: Boolean): Either<PeerFailure, OwnerResponse> {
+        if ((link.lastReceivedAt ?: 0) < startedAt) remove(link)
+        return PeerFailure("no answer from ${link.address}", isPortClosed = false, isNotSent = !isSent).left()
     }
 
-    private fun failureOf(e: StatusException): PeerFailure {
-        val causes = generateSequence<Throwable>(e) { it.cause }
-        val isClosed = e.status.code == Status.Code.UNAVAILABLE &&
-            causes.any { it is ConnectException && it.message.orEmpty().contains("refused", ignoreCase = true) }
-        return PeerFailure(e.status.toString(), isClosed)
+    private fun remove(link: Link) {
+        links.remove(link.address, link)
+        link.close()
+    }
+
+    private inner class Link(val address: String) {
+        private val nextId = AtomicLong()
+        private val pending = ConcurrentHashMap<Long, CompletableDeferred<OwnerResponse>>()
+
+        @Volatile
+        private var opened: PeerConnection? = null
+
+        @Volatile
+        var hasEnded = false
+            private set
+
+        val connection: Deferred<PeerConnection> = scope.async(start = CoroutineStart.LAZY) { open() }
+
+        val lastReceivedAt: Long? get() = opened?.lastReceivedAt
+
+        private suspend fun open(): PeerConnection = try {
+            connections.open(address).also {
+                opened = it
+                scope.launch { receiveAll(it) }
+            }
+        } catch (e: IOException) {
+            hasEnded = true
+            throw e
+        }
+
+        private suspend fun receiveAll(connection: PeerConnection) {
+            var reason: IOException? = null
+            try {
+                connection.run { frame ->
+                    if (frame is PeerFrame.Response) pending.remove(frame.id)?.complete(frame.response)
+                }
+            } catch (e: IOException) {
+                reason = e
+                logger.event(Level.DEBUG, "connection to a peer ended", "peer" to address, "reason" to e.message)
+            } finally {
+                hasEnded = true
+                val failure = reason ?: IOException("connection closed")
+                pending.values.forEach { it.completeExceptionally(failure) }
+            }
+        }
+
+        suspend fun ask(connection: PeerConnection, request: OwnerRequest): OwnerResponse {
+            val id = nextId.incrementAndGet()
+            val response = CompletableDeferred<OwnerResponse>()
+            pending[id] = response
+            try {
+                // The receiver fails all pending requests when the connection ends, but not those added after that.
+                if (hasEnded || !connection.send(PeerFrame.Request(id, request))) {
+                    throw IOException("connection closed")
+                }
+                return response.await()
+            } finally {
+                pending.remove(id)
+            }
+        }
+
+        fun close() {
+            hasEnded = true
+            connection.cancel()
+            opened?.close()
+        }
     }
 }
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/ShardCandidateTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/ShardCandidateTest.kt
@@ -9,12 +9,12 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.withTimeoutOrNull
+import org.camphorhall.scheduler.peer.PeerConnections
 import org.camphorhall.scheduler.support.Clock
 import org.camphorhall.scheduler.support.OwnerClient
 import org.camphorhall.scheduler.support.OwnerFinder
 import org.camphorhall.scheduler.support.ShardKeys
 import org.camphorhall.scheduler.support.SystemClock
-import org.camphorhall.wire.PeerChannels
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isNotNull
@@ -39,7 +39,8 @@
 
     private val store = InMemoryTransactionalStore()
     private val keys = ShardKeys(0)
-    private val channels = PeerChannels()
+    private val connections = PeerConnections()
+    private val clientScope = CoroutineScope(Dispatchers.Default)
 
     private val ownershipThread =
         Executors.newSingleThreadScheduledExecutor { Thread(it, OWNERSHIP) }.asCoroutineDispatcher()
@@ -52,7 +53,7 @@
         name,
         "127.0.0.1:$port",
         clock,
-        OwnerClient(channels),
+        OwnerClient(connections, clientScope),
         OwnerFinder(store, keys),
         config = {},
     )
@@ -78,7 +79,8 @@
             release.countDown()
             scope.cancel()
             ownershipThread.close()
-            channels.close()
+            clientScope.cancel()
+            connections.close()
         }
     }
 
