Wait for sockets on threads of their own, and make static class data archives

Cause: with one processor the default dispatcher has two threads. The dynamic archives lack the lambda forms of the JDK and are mapped over the JDK's own archive; deploy/build went on without an archive. Change: one selector for a process, on the dispatcher for blocking calls.

--- a/dev/src/main/kotlin/org/camphorhall/dev/fleet/TrainCommand.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/TrainCommand.kt
@@ -30,15 +30,15 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Runs the agent and the entry of the scheduler under a short load and stops them, so that the JVM archives the classes
+ * Runs the agent and the entry of the scheduler under a short load and stops them, so that the JVM lists the classes
  * that they loaded.
  */
 internal class TrainCommand : CliktCommand("train") {
     private val classPath by option(help = "class path of the scheduler").required()
     private val jvm by option(help = "JVM options of the deployment, separated by spaces").required()
-    private val output by option(help = "directory of the archives").path().required()
+    private val output by option(help = "directory of the lists").path().required()
 
-    override fun help(context: Context): String = "Creates a class data archive for each role of the scheduler."
+    override fun help(context: Context): String = "Lists the classes that each role of the scheduler loads, for its class data archive."
 
     override fun run() = runBlocking {
         val ports = List(PORTS) { ServerSocket(0, 1, InetAddress.getLoopbackAddress()) }
@@ -77,7 +77,8 @@
         Files.writeString(file, settings)
         val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
         val command = listOf(java) + jvm.split(' ') + listOf(
-            "-XX:ArchiveClassesAtExit=${output.resolve("$role.jsa")}",
+            "-Xshare:off",
+            "-XX:DumpLoadedClassList=${output.resolve("$role.classlist")}",
             "-cp",
             classPath,
             "org.camphorhall.scheduler.MainKt",
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/OwnerLink.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/OwnerLink.kt
@@ -11,7 +11,7 @@
 import org.camphorhall.process.event
 import org.camphorhall.scheduler.owner.ShardOwnerRecord
 import org.camphorhall.scheduler.peer.PeerConnection
-import org.camphorhall.scheduler.peer.PeerConnections
+import org.camphorhall.scheduler.peer.PeerSockets
 import org.camphorhall.scheduler.peer.PeerFrame
 import org.camphorhall.scheduler.protocol.AgentMessage
 import org.camphorhall.scheduler.protocol.OwnerMessage
@@ -25,7 +25,7 @@
 /** Maintains the connection between a worker and the owner of its shard. [owner] returns the newest owner found. */
 internal class OwnerLink(
     private val link: WorkerLink,
-    private val connections: PeerConnections,
+    private val sockets: PeerSockets,
     private val clock: Clock,
     private val owner: () -> ShardOwnerRecord?,
 ) {
@@ -54,7 +54,7 @@
     }
 
     private suspend fun attach(record: ShardOwnerRecord): Unit = coroutineScope {
-        val connection = connections.open(record.address)
+        val connection = sockets.open(record.address)
         synchronized(pendingReports) { pendingReports.clear() }
         lastResponseAt = clock.steady()
         launch { sendReports(connection) }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/SchedulerAgent.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/SchedulerAgent.kt
@@ -30,7 +30,7 @@
 import org.camphorhall.process.respondOperation
 import org.camphorhall.scheduler.owner.SchedulerService
 import org.camphorhall.scheduler.owner.ShardCandidate
-import org.camphorhall.scheduler.peer.PeerConnections
+import org.camphorhall.scheduler.peer.PeerSockets
 import org.camphorhall.scheduler.peer.PeerServer
 import org.camphorhall.scheduler.support.ConfigWatcher
 import org.camphorhall.scheduler.support.JobRecordStore
@@ -76,7 +76,7 @@
         Executors.newSingleThreadScheduledExecutor { Thread(it, "ownership") }.asCoroutineDispatcher()
     }
 
-    private val connections = PeerConnections()
+    private val sockets = PeerSockets()
     private val keys = ShardKeys(ShardKeys.shardOf(options.instance, options.shards))
     private val finder = OwnerFinder(store, keys)
     private val candidate = ShardCandidate(
@@ -95,12 +95,12 @@
         options.instance,
         options.peers,
         clock,
-        OwnerClient(connections, scope),
+        OwnerClient(sockets, scope),
         finder,
         config = { onChange -> ConfigWatcher(fleetOperatorConfig(store), clock, onChange).run() },
     )
     private val service = SchedulerService(JobRecordStore(store, options.shards)) { candidate.owner }
-    private val peers = PeerServer(options.peers, scope, clock, service::serve)
+    private val peers = PeerServer(options.peers, sockets, scope, clock, service::serve)
     private val http = httpServer(
         mapOf(
             options.heartbeats to { respondFleetHeartbeat(options.instance, this@SchedulerAgent) },
@@ -174,7 +174,7 @@
                 coroutineScope {
                     launchLoop("worker polls") { workerLink.run() }
                     launchLoop("worker health") { workerLink.health.run() }
-                    launchLoop("owner connection") { OwnerLink(workerLink, connections, clock) { finder.owner }.run() }
+                    launchLoop("owner connection") { OwnerLink(workerLink, sockets, clock) { finder.owner }.run() }
                 }
             } finally {
                 workerLink.close()
@@ -215,7 +215,7 @@
     fun close() {
         http.stop(0, 0)
         peers.close()
-        connections.close()
+        sockets.close()
         if (ownershipThread.isInitialized()) ownershipThread.value.close()
     }
 
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerEntry.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerEntry.kt
@@ -19,7 +19,7 @@
 import org.camphorhall.process.bindOrThrow
 import org.camphorhall.process.event
 import org.camphorhall.process.respondOperation
-import org.camphorhall.scheduler.peer.PeerConnections
+import org.camphorhall.scheduler.peer.PeerSockets
 import org.camphorhall.scheduler.support.ConfigWatcher
 import org.camphorhall.scheduler.support.JobRecordStore
 import org.camphorhall.scheduler.support.OwnerClient
@@ -54,13 +54,13 @@
     private val storeCalls = metrics.counter("camphorhall_store_calls", "Calls to the key-value service", "call")
     private val store: TransactionalStore =
         fleetStore(options.store, STORE_CONNECT_TIMEOUT, STORE_CALL_TIMEOUT) { storeCalls.labelValues(it.name).inc() }
-    private val connections = PeerConnections()
+    private val sockets = PeerSockets()
     private val ownerFinders = List(options.shards) { OwnerFinder(store, ShardKeys(it)) }
     private val config = ConfigWatcher(fleetOperatorConfig(store), clock)
     private val intake = SchedulerJobIntake(
         config = { config.config },
         records = JobRecordStore(store, options.shards),
-        owners = OwnerRequestClient(OwnerClient(connections, scope), ownerFinders),
+        owners = OwnerRequestClient(OwnerClient(sockets, scope), ownerFinders),
         scope = scope,
         clock = clock,
         metrics = IntakeMetrics(metrics),
@@ -101,7 +101,7 @@
 
     fun close() {
         server.stop(0, STOP_TIMEOUT_MILLIS)
-        connections.close()
+        sockets.close()
     }
 
     private companion object {
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/peer/PeerServer.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/peer/PeerServer.kt
@@ -2,20 +2,15 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.github.oshai.kotlinlogging.Level
-import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.ServerSocket
-import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.isClosed
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.camphorhall.process.event
 import org.camphorhall.scheduler.support.Clock
 import org.camphorhall.scheduler.support.LogLimit
-import org.camphorhall.scheduler.support.hostOf
 import org.camphorhall.scheduler.support.launchLoop
-import org.camphorhall.scheduler.support.portOf
 import java.io.IOException
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -24,18 +19,18 @@
 /** Accepts connections of other scheduler processes at [address], host:port. */
 internal class PeerServer(
     private val address: String,
+    private val sockets: PeerSockets,
     private val scope: CoroutineScope,
     private val clock: Clock,
     /** Runs one connection until it ends. */
     private val serve: suspend (PeerConnection) -> Unit,
 ) : AutoCloseable {
-    private val selector = SelectorManager(Dispatchers.Default)
     private var socket: ServerSocket? = null
     private val malformed = LogLimit(clock)
 
     /** Binds the address. Throws [IOException] if that fails. */
     suspend fun start() {
-        val bound = aSocket(selector).tcp().bind(hostOf(address), portOf(address)) { reuseAddress = true }
+        val bound = sockets.listen(address)
         socket = bound
         scope.launchLoop("accept") { acceptAll(bound) }
     }
@@ -73,7 +68,6 @@
 
     override fun close() {
         socket?.close()
-        selector.close()
     }
 
     private companion object {
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/peer/PeerConnections.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/peer/PeerSockets.kt
@@ -1,6 +1,7 @@
 package org.camphorhall.scheduler.peer
 
 import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.withTimeoutOrNull
@@ -11,9 +12,10 @@
 import java.io.IOException
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Opens connections to other scheduler processes. */
-internal class PeerConnections(private val clock: Clock = SystemClock) : AutoCloseable {
-    private val selector = lazy { SelectorManager(Dispatchers.Default) }
+/** Sockets between scheduler processes; all of them share one selector. */
+internal class PeerSockets(private val clock: Clock = SystemClock) : AutoCloseable {
+    // The selector blocks the thread on which it waits, and the default dispatcher of one processor has only two.
+    private val selector = lazy { SelectorManager(Dispatchers.IO) }
 
     /** Connects to [address], host:port. Throws [java.net.ConnectException] if no process listens there. */
     suspend fun open(address: String): PeerConnection {
@@ -23,6 +25,10 @@
         return PeerConnection(socket, clock)
     }
 
+    /** Listens at [address], host:port. Throws [IOException] if the address cannot be bound. */
+    suspend fun listen(address: String): ServerSocket =
+        aSocket(selector.value).tcp().bind(hostOf(address), portOf(address)) { reuseAddress = true }
+
     override fun close() {
         if (selector.isInitialized()) selector.value.close()
     }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/OwnerClient.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/OwnerClient.kt
@@ -14,7 +14,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.camphorhall.process.event
 import org.camphorhall.scheduler.peer.PeerConnection
-import org.camphorhall.scheduler.peer.PeerConnections
+import org.camphorhall.scheduler.peer.PeerSockets
 import org.camphorhall.scheduler.peer.PeerFrame
 import org.camphorhall.scheduler.protocol.OwnerRequest
 import org.camphorhall.scheduler.protocol.OwnerResponse
@@ -36,7 +36,7 @@
 
 /** Sends requests to the processes that may own a shard, over one connection for each of them. */
 internal class OwnerClient(
-    private val connections: PeerConnections,
+    private val sockets: PeerSockets,
     private val scope: CoroutineScope,
     private val clock: Clock = SystemClock,
 ) {
@@ -93,7 +93,7 @@
         val lastReceivedAt: Long? get() = opened?.lastReceivedAt
 
         private suspend fun open(): PeerConnection = try {
-            connections.open(address).also {
+            sockets.open(address).also {
                 opened = it
                 scope.launch { receiveAll(it) }
             }
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/ShardCandidateTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/ShardCandidateTest.kt
@@ -9,7 +9,7 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.withTimeoutOrNull
-import org.camphorhall.scheduler.peer.PeerConnections
+import org.camphorhall.scheduler.peer.PeerSockets
 import org.camphorhall.scheduler.support.Clock
 import org.camphorhall.scheduler.support.OwnerClient
 import org.camphorhall.scheduler.support.OwnerFinder
@@ -39,7 +39,7 @@
 
     private val store = InMemoryTransactionalStore()
     private val keys = ShardKeys(0)
-    private val connections = PeerConnections()
+    private val sockets = PeerSockets()
     private val clientScope = CoroutineScope(Dispatchers.Default)
 
     private val ownershipThread =
@@ -53,7 +53,7 @@
         name,
         "127.0.0.1:$port",
         clock,
-        OwnerClient(connections, clientScope),
+        OwnerClient(sockets, clientScope),
         OwnerFinder(store, keys),
         config = {},
     )
@@ -80,7 +80,7 @@
             scope.cancel()
             ownershipThread.close()
             clientScope.cancel()
-            connections.close()
+            sockets.close()
         }
     }
 
