Let a restarted owner take its shard back at once

Cause: after a loss of all power the shard stays without owner until the store lease of the killed owner ends (2 s), and each process waits 0.2 to 0.7 s before its first lookup; tasks lapse 3 s after the loss. Change: the first lookup is made at the start. A process at the address of the recorded owner knows that its former process has ended and replaces its record at once, under a new epoch. Agents connect to the last known address and follow the newer epoch that a restarted owner responds with, before they have read its record. Tests: takeover before the lease ends, no takeover from another address or name, malformed messages, an exception in a handler, responses by id, and what counts as not sent on the connections between processes.

--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/OwnerLink.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/OwnerLink.kt
@@ -22,12 +22,16 @@
 
 private val logger = KotlinLogging.logger {}
 
-/** Maintains the connection between a worker and the owner of its shard. [owner] returns the newest owner found. */
+/**
+ * Maintains the connection between a worker and the owner of its shard. [owner] returns the newest owner found. An owner
+ * that has restarted responds with a newer epoch than its record that the agent has read; [onNewerEpoch] gets it.
+ */
 internal class OwnerLink(
     private val link: WorkerLink,
     private val sockets: PeerSockets,
     private val clock: Clock,
     private val owner: () -> ShardOwnerRecord?,
+    private val onNewerEpoch: (ShardOwnerRecord) -> Unit,
 ) {
     /** Clock readings of reports without a response, by steady time. */
     private val pendingReports = LinkedHashMap<Long, ClockReading>()
@@ -70,7 +74,9 @@
         }
     }
 
-    private fun isNewest(record: ShardOwnerRecord): Boolean = (owner()?.epoch ?: 0) <= record.epoch
+    /** Whether the process at the address of [record] is still the newest owner, perhaps with a newer epoch. */
+    private fun isNewest(record: ShardOwnerRecord): Boolean =
+        owner()?.let { it.epoch <= record.epoch || it.isAt(record.instance, record.address) } ?: true
 
     private suspend fun sendReports(connection: PeerConnection) {
         var isFenced = false
@@ -91,7 +97,9 @@
     }
 
     private suspend fun CoroutineScope.handle(message: OwnerMessage, record: ShardOwnerRecord) {
-        if (message.epoch != record.epoch) return
+        val known = owner() ?: record
+        if (message.epoch < known.epoch) return
+        if (message.epoch > known.epoch) onNewerEpoch(record.copy(epoch = message.epoch))
         lastResponseAt = clock.steady()
         responseTimeout.recordResponse()
         link.addProfiles(message.taskProfiles)
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/SchedulerAgent.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/SchedulerAgent.kt
@@ -174,7 +174,8 @@
                 coroutineScope {
                     launchLoop("worker polls") { workerLink.run() }
                     launchLoop("worker health") { workerLink.health.run() }
-                    launchLoop("owner connection") { OwnerLink(workerLink, sockets, clock) { finder.owner }.run() }
+                    val ownerLink = OwnerLink(workerLink, sockets, clock, { finder.owner }, finder::update)
+                    launchLoop("owner connection") { ownerLink.run() }
                 }
             } finally {
                 workerLink.close()
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/Ownership.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/Ownership.kt
@@ -57,10 +57,14 @@
         get() = epoch > 0 &&
             lastVerified?.let { clock.steady() - it.steady < GRACE_MILLIS && !it.mayHaveBeenSuspended() } ?: false
 
-    /** Acquires the shard if it has no owner. Returns whether it was acquired. */
+    /**
+     * Acquires the shard if it has no owner, or if its owner was an earlier process at this address, which has ended
+     * since this one listens there. Returns whether it was acquired.
+     */
     suspend fun tryAcquire(): Boolean {
-        val isFree = store.get(keys.owner).fold({ false }, { it == null })
-        if (!isFree) return false
+        val current = store.get(keys.owner).getOrElse { return false }
+        val owner = current?.let { e -> decodeOwner(e.value).getOrElse { return false } }
+        if (owner != null && !owner.isAt(instance, address)) return false
         val before = store.get(keys.epoch).getOrElse { return false }
         val last = before?.let { e -> decodeOwner(e.value).getOrElse { logCorruptEpoch(it); return false } }
         val reading = ClockReading(clock)
@@ -68,7 +72,7 @@
         val record = ShardOwnerRecord((last?.epoch ?: 0) + 1, instance, address)
         val value = encode(record)
         val transaction = StoreTransaction(
-            conditions = mapOf(keys.owner to 0L, keys.epoch to (before?.version ?: 0L)),
+            conditions = mapOf(keys.owner to (current?.version ?: 0L), keys.epoch to (before?.version ?: 0L)),
             writes = listOf(StoreTransaction.Write(keys.owner, value, id), StoreTransaction.Write(keys.epoch, value)),
         )
         val revision = store.commit(transaction).getOrElse { e ->
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardCandidate.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardCandidate.kt
@@ -51,15 +51,22 @@
     @Volatile
     private var isStopping = false
 
-    /** Runs until the process stops. */
+    /**
+     * Runs until the process stops. The first lookup is made at once: it gives the agent the address to report to, and a
+     * restarted owner takes its shard back without waiting for the lease of its former process.
+     */
     suspend fun run() {
+        var isFirst = true
         while (!isStopping) {
-            val pollMillis = if (finder.owner == null) NO_OWNER_POLL_MILLIS else POLL_MILLIS
-            delay((pollMillis + Random.nextLong(JITTER_MILLIS)).milliseconds)
-            if (finder.isUnowned() && clock.steady() >= backoffUntil && ownership.tryAcquire()) {
+            val isUnowned = finder.isUnowned()
+            val mayAcquire = isUnowned && !isFirst || finder.owner?.isAt(instance, address) == true
+            if (mayAcquire && clock.steady() >= backoffUntil && ownership.tryAcquire()) {
                 finder.update(ShardOwnerRecord(ownership.epoch, instance, address))
                 runShard()
             }
+            isFirst = false
+            val pollMillis = if (finder.owner == null) NO_OWNER_POLL_MILLIS else POLL_MILLIS
+            delay((pollMillis + Random.nextLong(JITTER_MILLIS)).milliseconds)
         }
     }
 
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/peer/PeerServer.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/peer/PeerServer.kt
@@ -4,6 +4,7 @@
 import io.github.oshai.kotlinlogging.Level
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.isClosed
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -47,6 +48,7 @@
         }
     }
 
+    @Suppress("TooGenericExceptionCaught") // One bad request must not end the other connections.
     private suspend fun serveUntilEnd(connection: PeerConnection) {
         try {
             serve(connection)
@@ -61,6 +63,10 @@
             }
         } catch (e: IOException) {
             logger.event(Level.DEBUG, "connection of a peer ended", "reason" to e.message)
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            logger.event(Level.ERROR, "connection closed: request failed", cause = e)
         } finally {
             connection.close()
         }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/OwnerClient.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/OwnerClient.kt
@@ -42,6 +42,9 @@
 ) {
     private val links = ConcurrentHashMap<String, Link>()
 
+    /** Number of connections that requests use or will use. */
+    val openConnections: Int get() = links.size
+
     /** Sends [request] to [address]; fails after [timeout] without a response. */
     suspend fun send(address: String, request: OwnerRequest, timeout: Duration): Either<PeerFailure, OwnerResponse> {
         val startedAt = clock.steady()
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/OwnerFinder.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/OwnerFinder.kt
@@ -50,6 +50,7 @@
 
     /** Looks up the owner until cancelled. */
     suspend fun run() {
+        update(findOwner(store, keys).getOrNull())
         while (true) {
             val period = if (owner == null) SEARCH_PERIOD else PERIOD
             val isRefreshRequested = withTimeoutOrNull(period) { refreshRequests.receive() } != null
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/ShardCandidateTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/ShardCandidateTest.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
@@ -17,7 +18,11 @@
 import org.camphorhall.scheduler.support.SystemClock
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
+import strikt.assertions.isTrue
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.Executors
 import kotlin.time.Duration.Companion.milliseconds
@@ -84,6 +89,50 @@
         }
     }
 
+    /** Guards against a shard without an owner until the lease of a killed owner ends, while its next process is up. */
+    @Test
+    fun `a restarted process takes back the shard of its former process before the lease ends`() {
+        val scope = CoroutineScope(Dispatchers.IO)
+        try {
+            val killed = candidate("owner", port = 1, SystemClock)
+            val killedJob = scope.launch { killed.run() }
+            val takenBackMillis = runBlocking {
+                withTimeout(ACQUIRE_TIMEOUT) { while (killed.owner == null) delay(POLL_INTERVAL) }
+                killedJob.cancelAndJoin()
+                val killedAt = SystemClock.steady()
+                val restarted = candidate("owner", port = 1, SystemClock)
+                scope.launch { restarted.run() }
+                withTimeout(ACQUIRE_TIMEOUT) { while (restarted.owner == null) delay(POLL_INTERVAL) }
+                SystemClock.steady() - killedAt
+            }
+            expectThat(takenBackMillis).isLessThan(Ownership.LEASE_MILLIS / 2)
+        } finally {
+            scope.cancel()
+            ownershipThread.close()
+            clientScope.cancel()
+            sockets.close()
+        }
+    }
+
+    /** Guards against two owners: only a process at the address of the owner knows that the owner has ended. */
+    @Test
+    fun `another process waits for the lease of a killed owner`() {
+        val owner = ownership("owner", port = 1)
+        runBlocking {
+            expectThat(owner.tryAcquire()).isTrue()
+            for ((name, port) in listOf("other" to 2, "owner" to 2, "other" to 1)) {
+                expectThat(ownership(name, port).tryAcquire()).describedAs("$name at $port").isFalse()
+            }
+            expectThat(ownership("owner", port = 1).tryAcquire()).isTrue()
+            // The epoch of the former process is over, so its next renewal fails.
+            expectThat(owner.renew()).isEqualTo(OwnershipState.Lost)
+        }
+        ownershipThread.close()
+        clientScope.cancel()
+    }
+
+    private fun ownership(name: String, port: Int) = Ownership(store, keys, name, "127.0.0.1:$port", SystemClock)
+
     private companion object {
         const val OWNERSHIP = "ownership"
         val POLL_INTERVAL = 20.milliseconds
--- /dev/null
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/peer/PeerServerTest.kt
@@ -0,0 +1,146 @@
+package org.camphorhall.scheduler.peer
+
+import arrow.core.Either
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import org.camphorhall.scheduler.protocol.OwnerRequest
+import org.camphorhall.scheduler.protocol.OwnerResponse
+import org.camphorhall.scheduler.support.OwnerClient
+import org.camphorhall.scheduler.support.PeerFailure
+import org.camphorhall.scheduler.support.SystemClock
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
+import java.io.ByteArrayOutputStream
+import java.io.DataOutputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+internal class PeerServerTest {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val sockets = PeerSockets()
+    private val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+    private val address = "127.0.0.1:$port"
+    private val client = OwnerClient(sockets, scope)
+
+    /** Responds to [OwnerRequest.CountPending] with the number that its class is; fails for `throw`, never for `hang`. */
+    private val server = PeerServer(address, sockets, scope, SystemClock) { connection ->
+        coroutineScope {
+            connection.run { frame ->
+                val request = (frame as PeerFrame.Request).request as OwnerRequest.CountPending
+                when (request.classId) {
+                    "throw" -> error("unexpected")
+                    "hang" -> Unit
+                    else -> launch {
+                        val number = request.classId.toInt()
+                        delay((number % 5 * 10).milliseconds)
+                        connection.send(PeerFrame.Response(frame.id, OwnerResponse.PendingCount(number)))
+                    }
+                }
+            }
+        }
+    }
+
+    @AfterEach
+    fun close() {
+        server.close()
+        scope.cancel()
+        sockets.close()
+    }
+
+    private suspend fun ask(classId: String): Either<PeerFailure, OwnerResponse> =
+        client.send(address, OwnerRequest.CountPending(classId), 500.milliseconds)
+
+    private fun numberIn(response: Either<PeerFailure, OwnerResponse>): Int? =
+        (response.getOrNull() as? OwnerResponse.PendingCount)?.jobs
+
+    private fun frame(length: Int, body: ByteArray): ByteArray = ByteArrayOutputStream().also {
+        DataOutputStream(it).apply {
+            writeInt(length)
+            write(body)
+        }
+    }.toByteArray()
+
+    private val malformed = mapOf(
+        "text of another protocol" to "GET / HTTP/1.1\r\nHost: a\r\n\r\n".encodeToByteArray(),
+        "an empty frame" to frame(0, ByteArray(0)),
+        "a negative length" to frame(-1, ByteArray(0)),
+        "a length beyond the limit" to frame(Int.MAX_VALUE, ByteArray(16)),
+        "bytes that are not JSON" to frame(4, byteArrayOf(-1, -2, -3, -4)),
+        "an unknown kind of frame" to """{"type":"other"}""".encodeToByteArray().let { frame(it.size, it) },
+        "a frame without its fields" to """{"type":"ask"}""".encodeToByteArray().let { frame(it.size, it) },
+        "deeply nested JSON" to "[".repeat(10_000).encodeToByteArray().let { frame(it.size, it) },
+    )
+
+    /** Guards against one malformed message that ends the process or stops it from serving its other peers. */
+    @Test
+    fun `malformed messages end only their own connection`(): Unit = runBlocking {
+        server.start()
+        expectThat(numberIn(ask("1"))).isEqualTo(1)
+        for ((name, bytes) in malformed) {
+            Socket(InetAddress.getLoopbackAddress(), port).use { socket ->
+                socket.soTimeout = 2_000
+                socket.getOutputStream().write(bytes)
+                val isClosed = runCatching { socket.getInputStream().read() == -1 }.getOrElse { "reset" in "$it" }
+                expectThat(isClosed).describedAs("closed after $name").isTrue()
+            }
+            expectThat(numberIn(ask("2"))).describedAs("served after $name").isEqualTo(2)
+        }
+    }
+
+    /** Guards against an unexpected exception that ends the process: the connection ends, others are served. */
+    @Test
+    fun `an exception in the handler of a request ends only that connection`(): Unit = runBlocking {
+        server.start()
+        expectThat(ask("throw").leftOrNull()?.isNotSent).isEqualTo(false)
+        expectThat(numberIn(ask("3"))).isEqualTo(3)
+    }
+
+    /** Guards against a response that is taken for the one to another request. */
+    @Test
+    fun `each request gets its own response while many share a connection`(): Unit = runBlocking {
+        server.start()
+        val numbers = coroutineScope { List(200) { async { numberIn(ask("$it")) } }.awaitAll() }
+        expectThat(numbers).isEqualTo(List(200) { it })
+    }
+
+    /** Guards against telling a caller that its request has not run after the request was sent. */
+    @Test
+    fun `only a request that was never sent counts as not sent`(): Unit = runBlocking {
+        val refused = ask("1").leftOrNull()
+        expectThat(refused?.isPortClosed to refused?.isNotSent).isEqualTo(true to true)
+        server.start()
+        val silent = ask("hang").leftOrNull()
+        expectThat(silent?.isPortClosed to silent?.isNotSent).isEqualTo(false to false)
+        expectThat(ask("4")).isA<Either.Right<OwnerResponse>>()
+
+    }
+
+    /** Guards against a connection that is replaced whenever a busy peer is late, which makes the peer still later. */
+    @Test
+    fun `a connection that delivers other responses is kept when one response is late`(): Unit = runBlocking {
+        server.start()
+        expectThat(numberIn(ask("5"))).isEqualTo(5)
+        val late = async { client.send(address, OwnerRequest.CountPending("hang"), 1.seconds) }
+        delay(500)
+        val pending = async { ask("14") }
+        expectThat(numberIn(pending.await())).isEqualTo(14)
+        expectThat(late.await().leftOrNull()?.isNotSent).isEqualTo(false)
+        expectThat(client.openConnections).isEqualTo(1)
+        expectThat(numberIn(ask("6"))).isEqualTo(6)
+    }
+}
