Pursue a write of unknown outcome as long as its caller waits, and reject at once while no path responds

While the store is silent, each new submission waited for the owner, whose path is silent as well. Change: such a write is retried until the caller's deadline. A second breaker guards the path through the owner: with both open, a submission that was sent nowhere is rejected at once, with one probe per interval.

--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/RecordWriter.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/RecordWriter.kt
@@ -15,13 +15,21 @@
 
 /**
  * Writes a record to the store directly, or through the owner of the shard, whose path to the store may be healthy when
- * that of this process is not. [breaker] guards the direct path, so that callers do not wait for an unavailable store.
+ * that of this process is not. A breaker guards each path, so that callers do not wait for one that is known to fail.
+ *
+ * Load pattern: the store is silent for seconds for some processes or for all. The first writes find that out and have
+ * an unknown outcome; those after them are rejected at once while no path works.
  */
-internal class RecordWriter(private val clock: Clock, private val breaker: CircuitBreaker = CircuitBreaker()) {
+internal class RecordWriter(
+    private val clock: Clock,
+    private val storeBreaker: CircuitBreaker = CircuitBreaker(),
+    private val ownerBreaker: CircuitBreaker = CircuitBreaker(),
+) {
     /**
      * Writes with [direct] or else [throughOwner], and retries both until [deadline] (steady clock, in milliseconds)
-     * while the outcome of a call is unknown. A write that both paths reject is rejected at once. The call through the
-     * owner is cancelled at [deadline].
+     * while the outcome of a call is unknown: a caller may not repeat such a request, so it is better served by a late
+     * response than by none. A write that both paths reject is rejected at once. The call through the owner is cancelled
+     * at [deadline].
      */
     suspend fun write(
         deadline: Long,
@@ -37,9 +45,7 @@
             if (remaining <= 0) {
                 return if (isUncertain) WriteResult.Unknown("$storeResult, no time left for the owner") else storeResult
             }
-            val timeout = remaining.milliseconds
-            val ownerResult = withTimeoutOrNull(timeout) { throughOwner(timeout) }
-                ?: WriteResult.Unknown(OWNER_TIMED_OUT)
+            val ownerResult = writeThroughOwner(minOf(remaining, OWNER_TIMEOUT_MILLIS).milliseconds, throughOwner)
             if (ownerResult.isFinal) {
                 return ownerResult.also { logger.event(Level.INFO, "record written through the owner") }
             }
@@ -53,9 +59,24 @@
     }
 
     private suspend fun writeDirectly(direct: suspend () -> WriteResult): WriteResult {
-        if (!breaker.allowCall(clock.steady())) return WriteResult.Refused("the store did not take the last writes")
+        if (!storeBreaker.allowCall(clock.steady())) {
+            return WriteResult.Refused("the store did not take the last writes")
+        }
         val result = direct()
-        if (result.isFinal) breaker.recordSuccess() else breaker.recordFailure(clock.steady())
+        if (result.isFinal) storeBreaker.recordSuccess() else storeBreaker.recordFailure(clock.steady())
+        return result
+    }
+
+    private suspend fun writeThroughOwner(
+        timeout: Duration,
+        throughOwner: suspend (timeout: Duration) -> WriteResult,
+    ): WriteResult {
+        if (!ownerBreaker.allowCall(clock.steady())) {
+            return WriteResult.Refused("the owner did not answer the last writes")
+        }
+        val result = withTimeoutOrNull(timeout) { throughOwner(timeout) } ?: WriteResult.Unknown(OWNER_TIMED_OUT)
+        // A rejection needs no time of the caller, so only a lack of responses opens the breaker.
+        if (result is WriteResult.Unknown) ownerBreaker.recordFailure(clock.steady()) else ownerBreaker.recordSuccess()
         return result
     }
 
@@ -64,6 +85,9 @@
     private companion object {
         /** Delay before a write whose outcome is unknown is retried. */
         const val RETRY_DELAY_MILLIS = 60L
-        const val OWNER_TIMED_OUT = "the owner did not answer in the caller's time"
+
+        /** The owner's own call to the store takes up to 0.8 s; half of that again for a busy owner. */
+        const val OWNER_TIMEOUT_MILLIS = 1_200L
+        const val OWNER_TIMED_OUT = "the owner did not answer in time"
     }
 }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerEntry.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerEntry.kt
@@ -119,8 +119,8 @@
         /** The balancer checks readiness once a second and removes an entry after two failed checks. */
         val READINESS_DELAY = 2_200.milliseconds
 
-        /** Covers the longest request: a write whose outcome stays unknown gets its response after 1.6 s. */
-        val DRAIN_TIMEOUT = 2_000.milliseconds
+        /** Covers nearly the longest request, a write whose outcome stays unknown, and ends before the grace time. */
+        val DRAIN_TIMEOUT = 2_600.milliseconds
         val DRAIN_POLL_INTERVAL = 20.milliseconds
         const val STOP_TIMEOUT_MILLIS = 200L
     }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerJobIntake.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerJobIntake.kt
@@ -72,7 +72,7 @@
         config: OperatorConfig,
         startedAt: Long,
     ): IntakeResponse {
-        val deadline = startedAt + timeoutMillis(request, jobClass).coerceAtMost(MAX_WRITE_MILLIS)
+        val deadline = startedAt + timeoutMillis(request, jobClass)
         return when (request) {
             is IntakeRequest.Submit -> when {
                 request.bodyBytes > config.maxBodyBytes -> IntakeResponse.TooLarge
@@ -159,9 +159,6 @@
         /** Used when neither the caller nor the operators set a timeout. */
         const val DEFAULT_TIMEOUT_MILLIS = 3_000L
 
-        /** A write whose outcome is unknown for longer is left to a retry by the caller. */
-        const val MAX_WRITE_MILLIS = 1_600L
-
         /** Time reserved for the response to reach the caller. */
         const val RESPONSE_MARGIN_MILLIS = 100L
 
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/entry/RecordWriterTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/entry/RecordWriterTest.kt
@@ -2,7 +2,9 @@
 
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runCurrent
 import kotlinx.coroutines.test.runTest
 import org.camphorhall.scheduler.support.Clock
 import org.camphorhall.scheduler.support.WriteResult
@@ -127,6 +129,36 @@
         }
     }
 
+    /** Guards against giving up a write whose caller may not repeat it, while the store returns in the caller's time. */
+    @Test
+    fun `a write whose outcome is unknown is retried until the store responds`() = runTest {
+        val returnsAt = currentTime + 2_300
+        val store: suspend () -> WriteResult = {
+            if (currentTime < returnsAt) delay(800)
+            if (currentTime < returnsAt) unknown else WriteResult.Stored
+        }
+        val result = RecordWriter(clock()).write(currentTime + 2_900, store) { store() }
+        expectThat(result).isEqualTo(WriteResult.Stored)
+    }
+
+    /** Guards against callers that wait for a response although both paths are known not to respond. */
+    @Test
+    fun `while neither path responds new writes are rejected at once`() = runTest {
+        val writer = RecordWriter(clock())
+        val silent: suspend () -> WriteResult = {
+            delay(800)
+            unknown
+        }
+        repeat(2) { writer.write(currentTime + 1_700, silent) { silent() } }
+        // One write after each interval of the breakers finds out whether a path works again.
+        val probe = launch { writer.write(currentTime + 1_700, silent) { silent() } }
+        runCurrent()
+        val from = currentTime
+        repeat(10) { expectThat(writer.write(from + 2_900, silent) { silent() }).isA<WriteResult.Refused>() }
+        expectThat(currentTime - from).isEqualTo(0)
+        probe.cancel()
+    }
+
     private fun kotlinx.coroutines.test.TestScope.clock() = object : Clock {
         override fun steady(): Long = currentTime
 
