Tell agents and entries the new owner

Change: an owner that is asked to resign learns the record of its successor and passes it on to its agents before it closes their connections; a process that is not the owner names the newest one that it knows, to agents and to entries.

--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/OwnerLink.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/OwnerLink.kt
@@ -23,15 +23,16 @@
 private val logger = KotlinLogging.logger {}
 
 /**
- * Maintains the connection between a worker and the owner of its shard. [owner] returns the newest owner found. An owner
- * that has restarted responds with a newer epoch than its record that the agent has read; [onNewerEpoch] gets it.
+ * Maintains the connection between a worker and the owner of its shard. [owner] returns the newest owner found.
+ * [onNewerOwner] gets owners that the agent learns of on the connection: the successor of one that was replaced, and the
+ * newer epoch of one that has restarted.
  */
 internal class OwnerLink(
     private val link: WorkerLink,
     private val sockets: PeerSockets,
     private val clock: Clock,
     private val owner: () -> ShardOwnerRecord?,
-    private val onNewerEpoch: (ShardOwnerRecord) -> Unit,
+    private val onNewerOwner: (ShardOwnerRecord) -> Unit,
 ) {
     /** Clock readings of reports without a response, by steady time. */
     private val pendingReports = LinkedHashMap<Long, ClockReading>()
@@ -53,7 +54,8 @@
                     logger.event(Level.INFO, "connection to the owner failed", "owner" to address, "reason" to e.message)
                 }
             }
-            delay(RETRY_DELAY)
+            // A newer owner is known at once if the previous one told it.
+            if (record == null || owner()?.epoch == record.epoch) delay(RETRY_DELAY)
         }
     }
 
@@ -68,7 +70,13 @@
             connection.close()
         }
         try {
-            connection.run { if (it is PeerFrame.FromOwner) handle(it.message, record) }
+            connection.run { frame ->
+                when (frame) {
+                    is PeerFrame.FromOwner -> handle(frame.message, record)
+                    is PeerFrame.NewOwner -> onNewerOwner(frame.owner)
+                    else -> Unit
+                }
+            }
         } finally {
             coroutineContext.cancelChildren()
         }
@@ -99,7 +107,7 @@
     private suspend fun CoroutineScope.handle(message: OwnerMessage, record: ShardOwnerRecord) {
         val known = owner() ?: record
         if (message.epoch < known.epoch) return
-        if (message.epoch > known.epoch) onNewerEpoch(record.copy(epoch = message.epoch))
+        if (message.epoch > known.epoch) onNewerOwner(record.copy(epoch = message.epoch))
         lastResponseAt = clock.steady()
         responseTimeout.recordResponse()
         link.addProfiles(message.taskProfiles)
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/SchedulerAgent.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/SchedulerAgent.kt
@@ -99,7 +99,11 @@
         finder,
         config = { onChange -> ConfigWatcher(fleetOperatorConfig(store), clock, onChange).run() },
     )
-    private val service = SchedulerService(JobRecordStore(store, options.shards)) { candidate.owner }
+    private val service = SchedulerService(
+        JobRecordStore(store, options.shards),
+        owner = { candidate.owner },
+        otherOwner = { finder.owner?.takeIf { !it.isAt(options.instance, options.peers) } },
+    )
     private val peers = PeerServer(options.peers, sockets, scope, clock, service::serve)
     private val http = httpServer(
         mapOf(
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/OwnerRequestClient.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/OwnerRequestClient.kt
@@ -57,7 +57,10 @@
                 logger.event(Level.INFO, "request to the owner failed", "owner" to owner.instance, "reason" to it)
                 finder.requestRefresh()
             }
-            .onRight { if (it == OwnerResponse.NotOwner) finder.requestRefresh() }
+            .onRight {
+                if (it is OwnerResponse.Moved) finder.update(it.owner)
+                if (it is OwnerResponse.NotOwner) finder.requestRefresh()
+            }
     }
 
     private companion object {
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/AgentSession.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/AgentSession.kt
@@ -38,7 +38,11 @@
         connection.send(PeerFrame.FromOwner(message))
     }
 
-    fun close(): Unit = connection.close()
+    /** Closes the connection, after telling the agent the new [owner] if it is known. */
+    fun close(owner: ShardOwnerRecord?) {
+        if (owner != null) connection.send(PeerFrame.NewOwner(owner))
+        connection.closeWhenWritten()
+    }
 
     private companion object {
         /** Minimum time between two responses, well below the leases and response timeouts that depend on them. */
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/SchedulerService.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/SchedulerService.kt
@@ -20,6 +20,8 @@
 internal class SchedulerService(
     private val records: JobRecordStore,
     private val owner: () -> ShardOwner?,
+    /** Record of the newest owner that is another process; null if none is known. */
+    private val otherOwner: () -> ShardOwnerRecord?,
 ) {
     private val lastSession = AtomicLong()
 
@@ -37,7 +39,7 @@
                             val current = attachment ?: attach(connection).also { attachment = it }
                             current?.shard?.send(OwnerEvent.Reported(current.session, frame.message))
                         }
-                        is PeerFrame.Response, is PeerFrame.FromOwner -> Unit
+                        is PeerFrame.Response, is PeerFrame.FromOwner, is PeerFrame.NewOwner -> Unit
                     }
                 }
             }
@@ -46,11 +48,12 @@
         }
     }
 
-    /** Attaches the agent at [connection] to the shard. Closes the connection if this process is not the owner. */
+    /** Attaches the agent at [connection] to the shard, or directs it to the owner if that is another process. */
     private fun attach(connection: PeerConnection): Attachment? {
+        val session = AgentSession(lastSession.incrementAndGet(), connection)
         val shard = owner()
-        if (shard == null) connection.close()
-        return shard?.let { Attachment(it, AgentSession(lastSession.incrementAndGet(), connection)) }
+        if (shard == null) session.close(otherOwner())
+        return shard?.let { Attachment(it, session) }
     }
 
     private class Attachment(val shard: ShardOwner, val session: AgentSession) {
@@ -71,7 +74,7 @@
             if (result == WriteResult.Stored) notifyOwner(emptyList(), listOf(request.id))
             OwnerResponse.WriteOutcome(result)
         }
-        else -> owner()?.handleRequest(request) ?: OwnerResponse.NotOwner
+        else -> owner()?.handleRequest(request) ?: otherOwner()?.let(OwnerResponse::Moved) ?: OwnerResponse.NotOwner
     }
 
     private fun notifyOwner(jobs: List<JobRecord>, cancelled: List<String>) {
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardCandidate.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardCandidate.kt
@@ -85,6 +85,7 @@
                 configJob.cancel()
             }
         } finally {
+            shard.successor?.let(finder::update)
             owner = null
             shard.close()
             ownership.release()
@@ -95,10 +96,12 @@
     /** How long [predecessor] may still extend worker leases: 0 once it has resigned or its process has terminated. */
     private suspend fun graceMillisAfter(predecessor: ShardOwnerRecord?): Long {
         if (predecessor == null || predecessor.address == address) return 0
-        val response = client.send(predecessor.address, OwnerRequest.Resign(ownership.epoch), RESIGN_TIMEOUT)
+        val resignation =
+            OwnerRequest.Resign(ownership.epoch, ShardOwnerRecord(ownership.epoch, instance, address))
+        val response = client.send(predecessor.address, resignation, RESIGN_TIMEOUT)
         val isTerminated = response.fold(
             { it.isPortClosed },
-            { it == OwnerResponse.Acknowledged || it == OwnerResponse.NotOwner },
+            { it is OwnerResponse.Acknowledged || it is OwnerResponse.NotOwner || it is OwnerResponse.Moved },
         )
         logger.event(
             Level.INFO,
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
@@ -47,6 +47,11 @@
     @Volatile
     private var isClosed = false
 
+    /** The owner that asked this one to resign; null if none has. */
+    @Volatile
+    var successor: ShardOwnerRecord? = null
+        private set
+
     /** When the loop last handled a tick, on the steady clock; 0 before the shard is loaded. */
     @Volatile
     private var tickedAt = 0L
@@ -96,7 +101,7 @@
     fun close() {
         isClosed = true
         send(OwnerEvent.Tick)
-        sessions.values.forEach { it.close() }
+        sessions.values.forEach { it.close(successor) }
         var remaining = events.tryReceive().getOrNull()
         while (remaining != null) {
             (remaining as? OwnerEvent.RequestReceived)?.response?.complete(OwnerResponse.NotOwner)
@@ -234,7 +239,10 @@
         // Handled by SchedulerService, which needs no shard for them.
         is OwnerRequest.StoreJob, is OwnerRequest.StoreCancellation -> OwnerResponse.NotOwner
         is OwnerRequest.Resign -> {
-            if (request.epoch > epoch) isClosed = true
+            if (request.epoch > epoch) {
+                successor = request.owner
+                isClosed = true
+            }
             OwnerResponse.Acknowledged
         }
     }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/peer/PeerConnection.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/peer/PeerConnection.kt
@@ -47,6 +47,11 @@
         return isQueued
     }
 
+    /** Closes the connection once the queued frames are written. */
+    fun closeWhenWritten() {
+        outgoing.close()
+    }
+
     fun close() {
         outgoing.close()
         socket.close()
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/peer/PeerFrame.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/peer/PeerFrame.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.camphorhall.scheduler.owner.ShardOwnerRecord
 import org.camphorhall.scheduler.protocol.AgentMessage
 import org.camphorhall.scheduler.protocol.OwnerMessage
 import org.camphorhall.scheduler.protocol.OwnerRequest
@@ -25,6 +26,11 @@
     @SerialName("report")
     class FromAgent(val message: AgentMessage) : PeerFrame
 
+    /** Tells an agent that [owner] owns the shard; the sender, which does not, closes the connection. */
+    @Serializable
+    @SerialName("newOwner")
+    class NewOwner(val owner: ShardOwnerRecord) : PeerFrame
+
     /** Message of the owner to an attached agent. */
     @Serializable
     @SerialName("owner")
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/protocol/OwnerRequest.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/protocol/OwnerRequest.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.Serializable
 import org.camphorhall.core.jobs.JobPhase
 import org.camphorhall.core.jobs.JobRecord
+import org.camphorhall.scheduler.owner.ShardOwnerRecord
 import org.camphorhall.scheduler.support.WriteResult
 
 /** Request of an entry or a new owner to the owner of a shard. */
@@ -39,10 +40,10 @@
     @SerialName("storeCancellation")
     class StoreCancellation(val id: String) : OwnerRequest
 
-    /** Reports that the owner of [epoch] took over the shard. */
+    /** Reports that the owner of [epoch] took over the shard; [owner] is its record. */
     @Serializable
     @SerialName("resign")
-    class Resign(val epoch: Long) : OwnerRequest
+    class Resign(val epoch: Long, val owner: ShardOwnerRecord? = null) : OwnerRequest
 }
 
 /** Response to an [OwnerRequest]. */
@@ -53,6 +54,11 @@
     @SerialName("notOwner")
     data object NotOwner : OwnerResponse
 
+    /** The responding process does not own the shard, but knows that [owner] does. */
+    @Serializable
+    @SerialName("moved")
+    class Moved(val owner: ShardOwnerRecord) : OwnerResponse
+
     /** The owner processed the report. */
     @Serializable
     @SerialName("noted")
