--- a/dev/src/main/kotlin/org/camphorhall/dev/fleet/TrainCommand.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/TrainCommand.kt
@@ -38,7 +38,8 @@
     private val jvm by option(help = "JVM options of the deployment, separated by spaces").required()
     private val output by option(help = "directory of the lists").path().required()
 
-    override fun help(context: Context): String = "Lists the classes that each role of the scheduler loads, for its class data archive."
+    override fun help(context: Context): String =
+        "Lists the classes that each role of the scheduler loads, for its class data archive."
 
     override fun run() = runBlocking {
         val ports = List(PORTS) { ServerSocket(0, 1, InetAddress.getLoopbackAddress()) }
--- a/process/src/main/kotlin/org/camphorhall/process/Metrics.kt
+++ b/process/src/main/kotlin/org/camphorhall/process/Metrics.kt
@@ -6,15 +6,25 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import java.io.ByteArrayOutputStream
+import java.util.concurrent.CopyOnWriteArrayList
 
-/** Metrics of one process, each registered in [registry] when it is created. */
-public class Metrics(public val registry: PrometheusRegistry = PrometheusRegistry()) {
-    private val writer = PrometheusTextFormatWriter.create()
+/** Metrics of one process, each registered when it is created, or when the metrics are first read. */
+public class Metrics {
+    private val deferred = CopyOnWriteArrayList<DeferredCounter>()
+    private val writer by lazy { PrometheusTextFormatWriter.create() }
+    private val registry by lazy { PrometheusRegistry() }
 
     /** Registers a counter; the exposition appends `_total` to [name]. */
     public fun counter(name: String, help: String, vararg labels: String): Counter =
         Counter.builder().name(name).help(help).labelNames(*labels).register(registry)
 
+    /**
+     * Returns a counter with one [label] that is registered when the metrics are first read, so that a process which
+     * counts from its start does not load the metrics library then.
+     */
+    public fun deferredCounter(name: String, help: String, label: String): DeferredCounter =
+        DeferredCounter(name, help, label).also { deferred += it }
+
     /** Registers a gauge with the given [labels]. */
     public fun gauge(name: String, help: String, vararg labels: String): Gauge =
         Gauge.builder().name(name).help(help).labelNames(*labels).register(registry)
@@ -27,8 +37,10 @@
             .classicUpperBounds(*SECONDS_BUCKETS).register(registry)
 
     /** Returns all metrics in the Prometheus text format. */
-    public fun text(): String =
-        ByteArrayOutputStream().also { writer.write(it, registry.scrape()) }.toString(Charsets.UTF_8)
+    public fun text(): String {
+        deferred.forEach { it.registerOnce(registry) }
+        return ByteArrayOutputStream().also { writer.write(it, registry.scrape()) }.toString(Charsets.UTF_8)
+    }
 
     public companion object {
         /** Media type of [text]. */
--- a/process/src/test/kotlin/org/camphorhall/process/OperationRoutesTest.kt
+++ b/process/src/test/kotlin/org/camphorhall/process/OperationRoutesTest.kt
@@ -25,6 +25,8 @@
         val metrics = Metrics()
         metrics.counter("requests", "Requests.", "class").labelValues("quotes").inc()
         metrics.histogram("wait_seconds", "Wait.").observe(0.003)
+        val calls = metrics.deferredCounter("calls", "Calls.", "call")
+        repeat(2) { calls.increment("Get") }
         var ready = false
         val problem = Problem(
             409,
@@ -49,7 +51,10 @@
             ready = true
             expectThat(get("/readyz").statusCode()) isEqualTo 200
             expectThat(get("/metrics").body()).contains("requests_total{class=\"quotes\"} 1.0")
+                .contains("calls_total{call=\"Get\"} 2.0")
                 .contains("wait_seconds_bucket{le=\"0.002\"} 0").contains("wait_seconds_bucket{le=\"0.005\"} 1")
+            calls.increment("Get")
+            expectThat(get("/metrics").body()).contains("calls_total{call=\"Get\"} 3.0")
             val response = get("/problem")
             expectThat(response.statusCode()) isEqualTo 409
             expectThat(response.headers().firstValue("Content-Type").get().substringBefore(';'))
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/OwnerLink.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/OwnerLink.kt
@@ -24,8 +24,8 @@
 
 /**
  * Maintains the connection between a worker and the owner of its shard. [owner] returns the newest owner found.
- * [onNewerOwner] gets owners that the agent learns of on the connection: the successor of one that was replaced, and the
- * newer epoch of one that has restarted.
+ * [onNewerOwner] gets owners that the agent learns of on the connection: the successor of one that was replaced, and
+ * the newer epoch of one that has restarted.
  */
 internal class OwnerLink(
     private val link: WorkerLink,
@@ -50,8 +50,7 @@
                 try {
                     attach(record)
                 } catch (e: IOException) {
-                    val address = record.address
-                    logger.event(Level.INFO, "connection to the owner failed", "owner" to address, "reason" to e.message)
+                    logFailure(record, e)
                 }
             }
             // A newer owner is known at once if the previous one told it.
@@ -59,6 +58,16 @@
         }
     }
 
+    private fun logFailure(record: ShardOwnerRecord, e: IOException) {
+        logger.event(
+            Level.INFO,
+            "connection to the owner failed",
+            "owner" to record.address,
+            "epoch" to record.epoch,
+            "reason" to e.message,
+        )
+    }
+
     private suspend fun attach(record: ShardOwnerRecord): Unit = coroutineScope {
         val connection = sockets.open(record.address)
         synchronized(pendingReports) { pendingReports.clear() }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/SchedulerAgent.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/SchedulerAgent.kt
@@ -67,7 +67,8 @@
 ) : WorkerHeartbeatListener {
     private val clock = SystemClock
     private val metrics = Metrics()
-    private val storeCalls = metrics.counter("camphorhall_store_calls", "Calls to the key-value service", "call")
+    private val storeCalls =
+        metrics.deferredCounter("camphorhall_store_calls", "Calls to the key-value service", "call")
     private val store: TransactionalStore =
         fleetStore(options.store, STORE_CONNECT_TIMEOUT, STORE_CALL_TIMEOUT, onCall = ::countStoreCall)
 
@@ -122,7 +123,7 @@
         logger.event(Level.INFO, "agent started", "instance" to options.instance, "shards" to options.shards)
     }
 
-    private fun countStoreCall(call: StoreCall) = storeCalls.labelValues(call.name).inc()
+    private fun countStoreCall(call: StoreCall) = storeCalls.increment(call.name)
 
     override fun onHeartbeat(heartbeat: WorkerHeartbeat): Boolean = synchronized(this) {
         val current = incarnation
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/RecordWriter.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/RecordWriter.kt
@@ -28,8 +28,8 @@
     /**
      * Writes with [direct] or else [throughOwner], and retries both until [deadline] (steady clock, in milliseconds)
      * while the outcome of a call is unknown: a caller may not repeat such a request, so it is better served by a late
-     * response than by none. A write that both paths reject is rejected at once. The call through the owner is cancelled
-     * at [deadline].
+     * response than by none. A write that both paths reject is rejected at once. The call through the owner is
+     * cancelled at [deadline].
      */
     suspend fun write(
         deadline: Long,
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerEntry.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerEntry.kt
@@ -51,9 +51,10 @@
 private class SchedulerEntry(private val options: SchedulerEntryOptions, private val scope: CoroutineScope) {
     private val clock = SystemClock
     private val metrics = Metrics()
-    private val storeCalls = metrics.counter("camphorhall_store_calls", "Calls to the key-value service", "call")
+    private val storeCalls =
+        metrics.deferredCounter("camphorhall_store_calls", "Calls to the key-value service", "call")
     private val store: TransactionalStore =
-        fleetStore(options.store, STORE_CONNECT_TIMEOUT, STORE_CALL_TIMEOUT) { storeCalls.labelValues(it.name).inc() }
+        fleetStore(options.store, STORE_CONNECT_TIMEOUT, STORE_CALL_TIMEOUT) { storeCalls.increment(it.name) }
     private val sockets = PeerSockets()
     private val ownerFinders = List(options.shards) { OwnerFinder(store, ShardKeys(it)) }
     private val config = ConfigWatcher(fleetOperatorConfig(store), clock)
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/Ownership.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/Ownership.kt
@@ -62,9 +62,7 @@
      * since this one listens there. Returns whether it was acquired.
      */
     suspend fun tryAcquire(): Boolean {
-        val current = store.get(keys.owner).getOrElse { return false }
-        val owner = current?.let { e -> decodeOwner(e.value).getOrElse { return false } }
-        if (owner != null && !owner.isAt(instance, address)) return false
+        val ownerVersion = replaceableVersion() ?: return false
         val before = store.get(keys.epoch).getOrElse { return false }
         val last = before?.let { e -> decodeOwner(e.value).getOrElse { logCorruptEpoch(it); return false } }
         val reading = ClockReading(clock)
@@ -72,7 +70,7 @@
         val record = ShardOwnerRecord((last?.epoch ?: 0) + 1, instance, address)
         val value = encode(record)
         val transaction = StoreTransaction(
-            conditions = mapOf(keys.owner to (current?.version ?: 0L), keys.epoch to (before?.version ?: 0L)),
+            conditions = mapOf(keys.owner to ownerVersion, keys.epoch to (before?.version ?: 0L)),
             writes = listOf(StoreTransaction.Write(keys.owner, value, id), StoreTransaction.Write(keys.epoch, value)),
         )
         val revision = store.commit(transaction).getOrElse { e ->
@@ -88,6 +86,18 @@
         return true
     }
 
+    /** Version of the owner key, 0 if it is absent; null if it names another process or cannot be read. */
+    private suspend fun replaceableVersion(): Long? = store.get(keys.owner).fold(
+        { null },
+        { entry ->
+            when {
+                entry == null -> 0L
+                decodeOwner(entry.value).fold({ false }, { it.isAt(instance, address) }) -> entry.version
+                else -> null
+            }
+        },
+    )
+
     /**
      * Renews the lease and checks that the owner key still exists, since it can be removed while its lease is valid.
      * After [OwnershipState.Unknown] this process may still own the shard, and nothing can be written.
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardCandidate.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardCandidate.kt
@@ -52,8 +52,8 @@
     private var isStopping = false
 
     /**
-     * Runs until the process stops. The first lookup is made at once: it gives the agent the address to report to, and a
-     * restarted owner takes its shard back without waiting for the lease of its former process.
+     * Runs until the process stops. The first lookup is made at once: it gives the agent the address to report to, and
+     * a restarted owner takes its shard back without waiting for the lease of its former process.
      */
     suspend fun run() {
         var isFirst = true
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/peer/FrameCodec.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/peer/FrameCodec.kt
@@ -6,7 +6,6 @@
 import io.ktor.utils.io.readInt
 import io.ktor.utils.io.writeByteArray
 import io.ktor.utils.io.writeInt
-import kotlinx.serialization.SerializationException
 import org.camphorhall.scheduler.protocol.documentJson
 import java.io.IOException
 
@@ -22,10 +21,8 @@
         val text = channel.readByteArray(length).decodeToString()
         return try {
             documentJson.decodeFromString(PeerFrame.serializer(), text)
-        } catch (e: SerializationException) {
-            throw malformed(e)
         } catch (e: IllegalArgumentException) {
-            throw malformed(e)
+            throw MalformedFrameException(e.message.orEmpty().lineSequence().first())
         }
     }
 
@@ -35,8 +32,6 @@
         channel.writeByteArray(encoded)
     }
 
-    private fun malformed(e: Exception) = MalformedFrameException(e.message.orEmpty().lineSequence().first())
-
     /** Exceeds the largest report, of a worker with thousands of tasks. */
     private const val MAX_FRAME_BYTES = 8 * 1024 * 1024
 }
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/entry/RecordWriterTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/entry/RecordWriterTest.kt
@@ -129,7 +129,7 @@
         }
     }
 
-    /** Guards against giving up a write whose caller may not repeat it, while the store returns in the caller's time. */
+    /** Guards against giving up a write that its caller may not repeat although the store returns in time. */
     @Test
     fun `a write whose outcome is unknown is retried until the store responds`() = runTest {
         val returnsAt = currentTime + 2_300
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/peer/PeerServerTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/peer/PeerServerTest.kt
@@ -37,7 +37,7 @@
     private val address = "127.0.0.1:$port"
     private val client = OwnerClient(sockets, scope)
 
-    /** Responds to [OwnerRequest.CountPending] with the number that its class is; fails for `throw`, never for `hang`. */
+    /** Responds to [OwnerRequest.CountPending] with the number that its class is; throws or hangs for other classes. */
     private val server = PeerServer(address, sockets, scope, SystemClock) { connection ->
         coroutineScope {
             connection.run { frame ->
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/support/HttpServersTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/support/HttpServersTest.kt
@@ -43,7 +43,7 @@
         mapOf(
             "127.0.0.1:${ports[0]}" to { respondFleetJob(intake) },
             "127.0.0.1:${ports[1]}" to { respondFleetHeartbeat("instance-0", listener) },
-            "127.0.0.1:${ports[2]}" to { if (request.queryParameters["fail"] != null) error("x") else respondText("ok") },
+            "127.0.0.1:${ports[2]}" to { if (request.queryParameters.isEmpty()) respondText("ok") else error("x") },
         ),
     )
 
@@ -80,7 +80,8 @@
         "an endless body without a length" to job("Transfer-Encoding: chunked\r\n", 413, ::writeChunks),
         "a body that is not JSON" to job("Content-Length: 4\r\n", 400) { it.write(byteArrayOf(-1, 0, 1, 2)) },
         "a heartbeat that is not JSON" to heartbeat("/v1/instances/i-1", "{", 400),
-        "a heartbeat whose fields have other types" to heartbeat("/v1/instances/i-1", """{"seq":"a","state":[]}""", 400),
+        "a heartbeat whose fields have other types" to
+            heartbeat("/v1/instances/i-1", """{"seq":"a","state":[]}""", 400),
         "a heartbeat to another path" to heartbeat("/v1/other", "{}", 404),
         "a handler that throws" to Case(2, "GET /?fail HTTP/1.1\r\nHost: a\r\n\r\n", 500),
     )
