Fail a request whose connection another request gave up, instead of cancelling it

Cause: requests to one process share its connection. If one timed out while the connection was being opened, it cancelled the opening, and the others ended with a CancellationException: their callers got no response. Change: such a request fails like one whose connection was lost. Found by reading; the test fails without the change.

--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/OwnerClient.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/OwnerClient.kt
@@ -5,11 +5,14 @@
 import arrow.core.right
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.github.oshai.kotlinlogging.Level
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.camphorhall.process.event
@@ -63,6 +66,10 @@
         } catch (e: IOException) {
             remove(link)
             PeerFailure("$address: ${e.message}", isPortClosed = false, isNotSent = !isSent).left()
+        } catch (e: CancellationException) {
+            // Another request has given up the connection; this one is not cancelled.
+            currentCoroutineContext().ensureActive()
+            PeerFailure("$address: ${e.message}", isPortClosed = false, isNotSent = !isSent).left()
         }
     }
 
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/peer/PeerServerTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/peer/PeerServerTest.kt
@@ -143,4 +143,19 @@
         expectThat(client.openConnections).isEqualTo(1)
         expectThat(numberIn(ask("6"))).isEqualTo(6)
     }
+
+    /** Guards against a caller without a response because another request gave up the connection that both wait for. */
+    @Test
+    fun `requests that wait for the same connection fail one by one`(): Unit = runBlocking {
+        // The handshakes of further connections get no response once the queue of the listener is full.
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { silent ->
+            val queued = List(4) { Socket().apply { runCatching { connect(silent.localSocketAddress, 100) } } }
+            val target = "127.0.0.1:${silent.localPort}"
+            val request = OwnerRequest.CountPending("1")
+            val patient = async { client.send(target, request, 400.milliseconds) }
+            expectThat(client.send(target, request, 100.milliseconds).leftOrNull()?.isNotSent).isEqualTo(true)
+            expectThat(patient.await().leftOrNull()?.isNotSent).isEqualTo(true)
+            queued.forEach { it.close() }
+        }
+    }
 }
