--- a/review/standin/ManyEnds.java
+++ b/review/standin/ManyEnds.java
@@ -8,9 +8,9 @@
  * 500 ends wait on each worker, which lists 500 at a time. No task may run again.
  */
 final class ManyEnds {
-    private static final int JOBS = 48;
+    private static final int JOBS = 60;
     private static final int TASKS = 36;
-    private static final long JOB_PERIOD = 80;
+    private static final long JOB_PERIOD = 65;
     private static final long WORK = 10_000;
     private static final long OUTAGE = 4_500;
 
