Tell the incarnations of a worker that restarts under its id apart

Cause: between the return of the worker and its heartbeat the agent went on with the link of the earlier incarnation. Its next poll acknowledged end numbers of that incarnation, so the worker forgot its own ends, and its lists were dropped as older because its clock begins anew. The owner handled the ends of a new incarnation before it moved the attempts to it, so that those ends were acknowledged and not counted.

Change: the adapter compares the start time in the lists with that of the heartbeat. After a failed call the agent names no end number and sends no start until it has read lists of the same incarnation; after a refused connection it extends no lease. The owner moves the attempts that a new incarnation lists, as running or ended, before it handles the ends.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
@@ -29,12 +29,12 @@
             minOf(w.leaseEndsAt, now + report.remainingLeaseMillis)
         }
         if (w.reachable != wasReachable) logReachability(w, report, now)
+        if (report.reachable && report.isComplete && !report.terminated) replaceEarlier(w, report)
         report.ended.forEach { handleEnd(w, it, now) }
         report.rejected.forEach { handleRejection(w, it, now) }
         if (report.terminated) {
             state.releaseAll(w, "worker process is gone")
         } else if (report.isComplete) {
-            if (report.reachable) replaceEarlier(w, report)
             reconcileRunning(w, report, now)
             learnInterference(w, report, now)
         }
@@ -83,13 +83,15 @@
 
     /**
      * Releases the attempts of earlier incarnations of the reachable worker [w], which have ended. An attempt that [w]
-     * lists was started by a call meant for an earlier incarnation with the same id, and stays where it is.
+     * lists, as running or ended, was started by a call meant for an earlier incarnation with the same id, and belongs
+     * to [w].
      */
     private fun replaceEarlier(w: TrackedWorker, report: WorkerReport) {
         val earlier = state.workers.values.filter { it.key.instance == w.key.instance && it.key != w.key }
         for (e in earlier) {
             e.session?.let { if (state.sessions[it] === e) state.sessions.remove(it) }
-            val moved = report.running.mapNotNull { row -> e.assigned[row.task]?.takeIf { it.attempt == row.attempt } }
+            val listed = report.running.map { it.task to it.attempt } + report.ended.map { it.task to it.attempt }
+            val moved = listed.mapNotNull { (task, attempt) -> e.assigned[task]?.takeIf { it.attempt == attempt } }
             moved.forEach { state.reassign(it, e, w) }
             state.releaseAll(e, "worker restarted")
             state.workers.remove(e.key)
@@ -98,7 +100,10 @@
 
     private fun handleEnd(w: TrackedWorker, end: AttemptEnd, now: Long) {
         val job = state.jobs[end.task.job]
-        val t = job?.task(end.task)?.takeIf { it.worker == w.key && it.attempt == end.attempt }
+        val attempt = job?.task(end.task)?.takeIf { it.attempt == end.attempt }
+        // Until a complete report shows which attempts of an earlier incarnation belong to this one, the end waits.
+        if (attempt != null && attempt.worker != w.key && attempt.worker?.instance == w.key.instance) return
+        val t = attempt?.takeIf { it.worker == w.key }
         // The end of an assigned attempt counts even if an odd entry of another writer has its number.
         if (t == null && end.number <= w.lastEnd) return
         w.recordEnd(end.number)
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/JobShardAttemptsTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/JobShardAttemptsTest.kt
@@ -168,6 +168,36 @@
         expectThat(h.starts.map { it.first to it.second.attempt }).containsExactly(1L to 1, 2L to 2)
     }
 
+    private class RestartCase(val isComplete: Boolean, val hasRow: Boolean, val starts: Int, val acknowledged: Long)
+
+    private val restartCases = mapOf(
+        "the end in a complete report" to RestartCase(isComplete = true, hasRow = false, starts = 1, acknowledged = 1),
+        "the end in an incomplete one" to RestartCase(isComplete = false, hasRow = false, starts = 1, acknowledged = 0),
+        "a running attempt" to RestartCase(isComplete = true, hasRow = true, starts = 1, acknowledged = 0),
+    )
+
+    /** Guards against work that runs again after a start reached the next life of a worker, where it ended as done. */
+    @Test
+    fun `an attempt that a worker restarted under its id lists belongs to that worker`() {
+        for ((name, case) in restartCases) {
+            val h = ShardHarness()
+            h.report(1)
+            h.shard.accept(record(listOf(step(1))), h.now)
+            h.settle()
+            val o = h.starts.single().second
+            val restarted: (WorkerReport) -> WorkerReport = {
+                it.copy(profile = profile(1, startedAt = 2), isComplete = case.isComplete)
+            }
+            val row = listOf(RunningAttempt(o.task, o.attempt)).filter { case.hasRow }
+            val ends = listOf(end(1, o, EndCause.Done)).filter { !case.hasRow }
+            h.report(1, session = 2, running = row, ended = ends, change = restarted)
+            expectThat(h.starts).describedAs(name).hasSize(case.starts)
+            expectThat(h.acknowledged[2]).describedAs(name).isEqualTo(case.acknowledged)
+            h.report(1, session = 2, running = row, ended = ends) { it.copy(profile = profile(1, startedAt = 2)) }
+            expectThat(h.starts).describedAs("$name, later").hasSize(1)
+        }
+    }
+
     /** Guards against orphaned attempts, for example of a cancelled job after a disconnection. */
     @Test
     fun `an unassigned attempt is stopped`() {
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/AgentModel.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/AgentModel.kt
@@ -48,7 +48,7 @@
 
     private fun heartbeat() {
         val worker = path.worker
-        if (isEnded || !worker.isAlive || worker === link?.worker) return
+        if (isEnded || !worker.isAlive || worker === link?.worker || sim.now < worker.announcedAt) return
         link?.isClosed = true
         closeConnection()
         val firstToken = ++store.revision * 1_000_000
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/Episode.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/Episode.kt
@@ -113,7 +113,7 @@
     private fun restartWorker(n: Int) {
         if (!paths[n].worker.isAlive) return
         paths[n].worker.crash()
-        sim.after(sim.between(50, 3_000)) { paths[n].restart() }
+        sim.after(sim.between(50, 3_000)) { paths[n].restart(keepsId = sim.chance(50)) }
     }
 
     private fun changeOwner() {
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/LinkModel.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/LinkModel.kt
@@ -31,12 +31,14 @@
     private var lastResponseAt = 0L
     private var isRefused = false
     private var isReplaced = false
+    private var failedCalls = 0L
+    private var isConfirmed = false
     var isClosed = false
 
     fun run() {
         if (isClosed) return
         val hasUnstored = ended.any { it.number > lastStoredEnd }
-        val wait = if (hasUnstored) 0L else 800L
+        val wait = if (hasUnstored || !isConfirmed) 0L else 800L
         sim.after(if (hasUnstored) 150 else 0) { poll(wait) { ok -> sim.after(if (ok) 0 else 50, ::run) } }
     }
 
@@ -99,7 +101,15 @@
     }
 
     private fun start(command: WorkerCommand.Start, isCancelled: () -> Boolean, onDone: () -> Unit) {
-        val until = lease.send(sim.now)
+        if (!isConfirmed && lease.endOnWorkerClock(sim.now) != null) {
+            poll(0) { if (!isCancelled()) sendStart(command, isCancelled, onDone) }
+        } else {
+            sendStart(command, isCancelled, onDone)
+        }
+    }
+
+    private fun sendStart(command: WorkerCommand.Start, isCancelled: () -> Boolean, onDone: () -> Unit) {
+        val until = if (isConfirmed) lease.send(sim.now) else null
         if (until == null) {
             reject(command, "no lease")
             onDone()
@@ -111,7 +121,7 @@
         path.call(
             worker,
             800,
-            { isStarted = worker.start(command.task, command.attempt, until, sentToken, duration) },
+            { isStarted = it.start(command.task, command.attempt, until, sentToken, duration) },
             { 0 },
             { isStarted },
         ) { result ->
@@ -125,7 +135,10 @@
                     reject(command, "refused")
                     onDone()
                 }
-                CallResult.OtherLife, CallResult.Unknown -> resolve(command, ++token, isCancelled, onDone)
+                CallResult.OtherLife, CallResult.Unknown -> {
+                    recordFailedCall()
+                    resolve(command, ++token, isCancelled, onDone)
+                }
             }
         }
     }
@@ -150,7 +163,7 @@
 
     private fun stop(command: WorkerCommand.Stop, tries: Int, isCancelled: () -> Boolean, onDone: () -> Unit) {
         val delay = sim.between(0, 600)
-        path.call(worker, 800, { worker.stop(command.task, command.attempt, delay) }, { 0 }, {}) { result ->
+        path.call(worker, 800, { it.stop(command.task, command.attempt, delay) }, { 0 }, {}) { result ->
             when {
                 isClosed || isCancelled() -> Unit
                 result is CallResult.Response || tries == 1 -> onDone()
@@ -168,22 +181,29 @@
     private fun poll(wait: Long, onResult: (Boolean) -> Unit) {
         if (isClosed) return
         val sentToken = token
-        val seen = lastStoredEnd
-        val until = lease.send(sim.now)
+        val seen = if (isConfirmed) lastStoredEnd else 0
+        val until = if (isRefused) null else lease.send(sim.now)
+        val earlierFailures = failedCalls
         val sentGeneration = generation
         val upTo = lastCompleted
         var isAccepted = false
         path.call(
             worker,
             wait + 800,
-            { isAccepted = worker.extend(sentToken, seen, until) },
-            { minOf(wait, worker.nextEndIn()) },
-            { if (isAccepted) worker.list() else null },
+            { isAccepted = it.extend(sentToken, seen, until) },
+            { minOf(wait, it.nextEndIn()) },
+            { if (isAccepted) it.list() else null },
         ) { result ->
             if (isClosed) return@call
-            val lists = (result as? CallResult.Response)?.value
+            val received = (result as? CallResult.Response)?.value
+            val lists = received?.takeUnless(::isRestarted)
+            if (lists == null) recordFailedCall()
             when {
-                lists != null -> apply(lists, if (sentGeneration == generation) upTo else 0)
+                lists != null -> {
+                    if (earlierFailures == failedCalls) isConfirmed = true
+                    apply(lists, if (sentGeneration == generation) upTo else 0)
+                }
+                received != null -> isRefused = true
                 result is CallResult.Response -> token += 16
                 else -> recordError(result)
             }
@@ -192,6 +212,14 @@
         }
     }
 
+    private fun isRestarted(lists: WorkerModel.Lists): Boolean =
+        sim.fault != PlantedFault.RestartUnnoticed && lists.startedAt != worker.profile.key.startedAtMillis
+
+    private fun recordFailedCall() {
+        failedCalls++
+        isConfirmed = sim.fault == PlantedFault.RestartUnnoticed
+    }
+
     private fun recordError(error: CallResult<*>) {
         if (error == CallResult.Refused || error == CallResult.OtherLife) isRefused = true
         if (error == CallResult.OtherLife) isReplaced = true
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/PlantedFault.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/PlantedFault.kt
@@ -22,4 +22,7 @@
 
     /** A new owner does not wait for the grants of earlier owners. */
     NoGrace,
+
+    /** The agent takes the lists of a worker that has restarted under its id for those of its earlier life. */
+    RestartUnnoticed,
 }
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/WorkerModel.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/WorkerModel.kt
@@ -16,11 +16,19 @@
         override fun toString() = "$task attempt $attempt on ${profile.key} (from $startedAt, lease to $leaseUntil)"
     }
 
-    /** Lists at [time] on the worker's clock. */
-    class Lists(val time: Long, val running: List<RunningAttempt>, val ended: List<AttemptEnd>)
+    /** Lists of the incarnation that started at [startedAt], at [time] on its clock. */
+    class Lists(
+        val startedAt: Long,
+        val time: Long,
+        val running: List<RunningAttempt>,
+        val ended: List<AttemptEnd>,
+    )
 
     val profile: WorkerProfile = ShardHarness.profile(n, startedAt)
     val running = mutableListOf<Run>()
+
+    /** The worker executes calls from its start on, and announces itself later. */
+    val announcedAt = sim.now + sim.between(0, 1_500)
     var isAlive = true
         private set
     private val known = HashSet<Pair<TaskRef, Int>>()
@@ -94,7 +102,7 @@
             val percent = (sim.now - it.startedAt) * 100 / (it.doneAt - it.startedAt)
             RunningAttempt(it.task, it.attempt, percent = percent.toInt())
         }
-        return Lists(clock(), rows, ended.toList())
+        return Lists(profile.key.startedAtMillis, clock(), rows, ended.toList())
     }
 
     /** Ends the process with all its runs. */
@@ -109,7 +117,12 @@
         settle()
         greatestToken = maxOf(greatestToken, token)
         if (token < greatestToken) return false
-        leaseUntil = maxOf(leaseUntil, until)
+        leaseUntil = maxOf(leaseUntil, minOf(until, clock() + MAX_LEASE_MILLIS))
         return true
     }
+
+    private companion object {
+        /** A worker shortens a longer lease to this one. */
+        const val MAX_LEASE_MILLIS = 6_000L
+    }
 }
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/WorkerPath.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/WorkerPath.kt
@@ -7,7 +7,7 @@
     /** The connection was refused; the call was not executed. */
     data object Refused : CallResult<Nothing>
 
-    /** Another incarnation responded. */
+    /** Another incarnation with another id responded. */
     data object OtherLife : CallResult<Nothing>
 
     /** No response: the call may be executed, also later. */
@@ -27,45 +27,54 @@
     /** Percentage of calls that [mode] affects. */
     var affectedPercent = 100
 
-    fun restart() {
+    /** Whether the last incarnation has the id of the one before it, and so executes the calls meant for that. */
+    private var keepsId = false
+
+    fun restart(keepsId: Boolean) {
+        this.keepsId = keepsId
         worker = newWorker()
     }
 
     private fun newWorker() = WorkerModel(sim, n, sim.now, slowPerMille).also(sim.oracle.workers::add)
 
     /**
-     * Calls [target]: executes [execute], responds with [respond] after the time that [waitMillis] returns, and passes
-     * the result to [onResult]. The caller waits at most [timeout] for the response.
+     * Calls [target], or the next incarnation if it has the same id: executes [execute], responds with [respond] after
+     * the time that [waitMillis] returns, and passes the result to [onResult]. The caller waits at most [timeout] for
+     * the response.
      */
     fun <T> call(
         target: WorkerModel,
         timeout: Long,
-        execute: () -> Unit,
-        waitMillis: () -> Long,
-        respond: () -> T,
+        execute: (WorkerModel) -> Unit,
+        waitMillis: (WorkerModel) -> Long,
+        respond: (WorkerModel) -> T,
         onResult: (CallResult<T>) -> Unit,
     ) {
         val callMode = if (sim.chance(affectedPercent)) mode else Mode.Responsive
         val delay = sim.between(0, 15)
         fun fail() = sim.after(timeout) { onResult(CallResult.Unknown) }
+        fun executeUnanswered() {
+            executorOf(target)?.let(execute)
+        }
         when (callMode) {
             Mode.Refused -> sim.after(delay) { onResult(CallResult.Refused) }
             Mode.NotExecuted -> fail()
             Mode.ResponseLost -> {
-                sim.after(delay) { if (target.isAlive) execute() }
+                sim.after(delay) { executeUnanswered() }
                 fail()
             }
             Mode.Late -> {
-                sim.after(sim.between(300, 4_000)) { if (target.isAlive) execute() }
+                sim.after(sim.between(300, 4_000)) { executeUnanswered() }
                 fail()
             }
             Mode.Responsive -> sim.after(delay) {
+                val executor = executorOf(target)
                 when {
-                    target.isAlive -> {
-                        execute()
-                        sim.after(waitMillis()) {
-                            if (target.isAlive) {
-                                val value = respond()
+                    executor != null -> {
+                        execute(executor)
+                        sim.after(waitMillis(executor)) {
+                            if (executor.isAlive) {
+                                val value = respond(executor)
                                 sim.after(delay) { onResult(CallResult.Response(value)) }
                             } else {
                                 onResult(CallResult.Unknown)
@@ -78,4 +87,11 @@
             }
         }
     }
+
+    /** The process that executes a call meant for [target]; null if none does. */
+    private fun executorOf(target: WorkerModel): WorkerModel? = when {
+        target.isAlive -> target
+        keepsId && worker.isAlive -> worker
+        else -> null
+    }
 }
--- a/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerService.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerService.kt
@@ -128,7 +128,7 @@
                     JsonPrimitive(""),
                 )
             }
-            BufferedResponse.json(PollResponseJson(now, rows.map(::JsonArray), ends.map(::JsonArray)))
+            BufferedResponse.json(PollResponseJson(now, rows.map(::JsonArray), ends.map(::JsonArray), born))
         }
     }
 
@@ -159,6 +159,7 @@
         @SerialName("clock-ms") val clock: Long,
         val running: List<JsonArray>,
         val ended: List<JsonArray>,
+        val born: Long,
     )
 
     @Serializable
--- a/dev/src/test/kotlin/org/camphorhall/dev/fleet/FleetWorkerAdapterTest.kt
+++ b/dev/src/test/kotlin/org/camphorhall/dev/fleet/FleetWorkerAdapterTest.kt
@@ -3,6 +3,7 @@
 import arrow.core.getOrElse
 import kotlinx.coroutines.runBlocking
 import org.camphorhall.core.jobs.TaskRef
+import org.camphorhall.core.jobs.WorkerKey
 import org.camphorhall.dev.http.TestServer
 import org.camphorhall.platform.fleet.fleetTaskWorker
 import org.camphorhall.platform.worker.StartRequest
@@ -26,7 +27,8 @@
     }
 
     // The first request of a test process loads client and server classes, which takes up to a second under load.
-    private val worker = fleetTaskWorker("127.0.0.1:${server.port}", "worker", 1.seconds, 3.seconds)
+    private val worker =
+        fleetTaskWorker("127.0.0.1:${server.port}", WorkerKey("instance", "worker", 0), 1.seconds, 3.seconds)
 
     @AfterEach
     fun stop() {
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/SchedulerAgent.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/SchedulerAgent.kt
@@ -171,7 +171,7 @@
 
         private val job: Job = scope.launch {
             val token = firstToken()
-            val worker = fleetTaskWorker(first.address, key.id, WORKER_CONNECT_TIMEOUT, WORKER_CALL_TIMEOUT)
+            val worker = fleetTaskWorker(first.address, key, WORKER_CONNECT_TIMEOUT, WORKER_CALL_TIMEOUT)
             val workerLink = WorkerLink(profile, worker, token, clock)
             link = workerLink
             workerLink.profile = profile
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
@@ -69,9 +69,11 @@
     /** Whether the last call found no usable worker: the connection was refused, or another incarnation responded. */
     private var isRefused = false
 
-    /** Whether another incarnation has responded, so that this one has ended. */
+    /** Whether another incarnation with another id has responded, so that this one has ended. */
     private var isReplaced = false
-    private var summarizedAt = 0L
+
+    private val restarts = RestartCheck()
+    private val shares = BackfillShares(worker, backfill, lock, clock)
     private val endStored = Channel<Unit>(Channel.CONFLATED)
 
     /** Extends the lease and polls the lists until cancelled. */
@@ -81,13 +83,13 @@
             val hasUnstored = lock.withLock { attempts.unstoredEnds.isNotEmpty() }
             if (hasUnstored) withTimeoutOrNull(STORE_ACK_WAIT) { endStored.receive() }
             val wasFenced = isFenced()
-            val error = poll(if (hasUnstored) Duration.ZERO else pollWait())
+            val error = poll(if (hasUnstored || !isConfirmed()) Duration.ZERO else pollWait())
             if (!wasFenced && isFenced()) updates.trySend(Unit)
             if (error != null) {
                 delay(retryDelay.current)
             } else {
                 adjustShares()
-                logSummary()
+                shares.logSummary(profile, attempts)
             }
         }
     }
@@ -132,6 +134,8 @@
     /** Whether the worker has been fenced and its lists were read for the current connection. */
     suspend fun isFenced(): Boolean = lock.withLock { fencedConnection == connection }
 
+    private suspend fun isConfirmed(): Boolean = lock.withLock { restarts.isConfirmed }
+
     suspend fun execute(command: WorkerCommand) {
         when (command) {
             is WorkerCommand.Start -> start(command)
@@ -175,9 +179,17 @@
 
     private suspend fun poll(wait: Duration): WorkerError? {
         val call = lock.withLock {
-            val until = lease.send(clock.steady())
-            val lastStoredEnd = attempts.lastStoredEnd
-            PollRequest(token, lastStoredEnd, until, commands.connectionNumber, commands.lastCompleted, clock.steady())
+            // The lease ends on the clock of this incarnation, which means nothing to a restarted worker.
+            val until = if (isRefused) null else lease.send(clock.steady())
+            PollRequest(
+                token,
+                lastStoredEnd = if (restarts.isConfirmed) attempts.lastStoredEnd else 0,
+                until,
+                commands.connectionNumber,
+                commands.lastCompleted,
+                clock.steady(),
+                restarts.failedCalls,
+            )
         }
         return when (val r = worker.poll(call.token, call.lastStoredEnd, call.until, wait)) {
             is Either.Right -> null.also { applyLists(r.value, call) }
@@ -193,6 +205,8 @@
         /** All commands up to this number were completed before the call. */
         val lastCompletedCommand: Long,
         val sentAt: Long,
+        /** Number of failed calls before this one. */
+        val failedCalls: Long,
     )
 
     private suspend fun applyLists(lists: WorkerAttempts, call: PollRequest) {
@@ -204,6 +218,7 @@
             lastResponseAt = now
             if (isRefused) updates.trySend(Unit)
             isRefused = false
+            restarts.recordLists(call.failedCalls)
             retryDelay.reset()
             if (call.token >= connection) fencedConnection = connection
             val lastCommand = if (call.connectionNumber == commands.connectionNumber) call.lastCompletedCommand else 0
@@ -222,8 +237,9 @@
         val (leaseMillis, isUrgent) = lock.withLock {
             val wasRefused = isRefused
             val wasReplaced = isReplaced
+            restarts.recordFailedCall()
             when (error) {
-                is WorkerError.Refused -> isRefused = true
+                is WorkerError.Refused, WorkerError.Restarted -> isRefused = true
                 WorkerError.OtherLife -> {
                     isRefused = true
                     isReplaced = true
@@ -244,8 +260,10 @@
     }
 
     private suspend fun start(command: WorkerCommand.Start) {
+        val isCheckDue = lock.withLock { !restarts.isConfirmed && lease.endOnWorkerClock(clock.steady()) != null }
+        if (isCheckDue) poll(Duration.ZERO)
         val call = lock.withLock {
-            val until = if (profile.draining) null else lease.send(clock.steady())
+            val until = if (profile.draining || !restarts.isConfirmed) null else lease.send(clock.steady())
             if (until == null) {
                 null
             } else {
@@ -279,6 +297,8 @@
         if (isStarted && command.profile.backfill) adjustShares()
     }
 
+    private suspend fun adjustShares(): Unit = shares.adjust(profile, attempts) { token }
+
     /**
      * Determines the result of a start without a response. The worker may execute the start until it has a greater
      * token; lists read after that show whether the attempt exists.
@@ -291,7 +311,10 @@
             "attempt" to command.attempt,
             "reason" to detail,
         )
-        val requiredToken = lock.withLock { ++token }
+        val requiredToken = lock.withLock {
+            restarts.recordFailedCall()
+            ++token
+        }
         while (true) {
             val error = poll(Duration.ZERO)
             val isSettled = error == null && lock.withLock { token >= requiredToken }
@@ -329,54 +352,9 @@
         }
     }
 
-    /**
-     * Logs the attempts of the worker, the latency of its serving tasks and the shares of its backfill tasks, at most
-     * every [SUMMARY_PERIOD_MILLIS].
-     */
-    private suspend fun logSummary() {
-        val now = clock.steady()
-        if (now - summarizedAt < SUMMARY_PERIOD_MILLIS) return
-        summarizedAt = now
-        val (servingMetrics, backfillMetrics) = lock.withLock {
-            backfill.servingMetrics(attempts.running) to backfill.backfillMetrics(attempts.running)
-        }
-        logger.event(
-            Level.INFO,
-            "worker summary",
-            "worker" to profile.key.id,
-            "attempts" to attempts.running.size,
-            "serving" to servingMetrics,
-            "backfill" to backfillMetrics,
-            "percent" to backfill.meanSharePercent,
-        )
-    }
-
-    /** Adjusts the shares of backfill tasks to the latency of the serving tasks on the worker. */
-    private suspend fun adjustShares() {
-        val (shares, token) = lock.withLock {
-            backfill.computeShares(attempts.running, profile.capacity.cpuMillis, clock.steady()) to token
-        }
-        if (shares.isNotEmpty()) {
-            logger.event(
-                Level.INFO,
-                "changing backfill shares",
-                "percent" to backfill.meanSharePercent,
-                "headroom" to backfill.minHeadroom,
-                "tasks" to shares.size,
-            )
-        }
-        for (s in shares) {
-            worker.throttle(s.task, s.attempt, s.percent, token).fold(
-                { logger.event(Level.INFO, "share not set", "task" to s.task, "percent" to s.percent, "reason" to it) },
-                { lock.withLock { backfill.recordApplied(s) } },
-            )
-        }
-    }
-
     private companion object {
         /** Length of the leases that owners grant. */
         const val MAX_LEASE_MILLIS = 3_000L
-        const val SUMMARY_PERIOD_MILLIS = 2_000L
 
         /** Long-poll time: the worker responds after it if no attempt ends. Each poll also extends the lease. */
         val POLL_WAIT = 800.milliseconds
