Count a job as pending until a worker has begun a task of it

Cause: the phase of a job changed when a task was assigned, before its start was sent, and a rejection took only the assignment back.

Change: the phase changes when a worker lists a task, as running or ended, so that a rejection has nothing to undo. The stored record still says Running for a job with assigned tasks, which may have begun by the time it is read; a new owner waits for the lists.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
@@ -63,16 +63,11 @@
     }
 
     /** Phase of a job that may be reported to callers; null if there is no such job. */
-    public fun phaseOf(id: String): JobPhase? {
-        val job = jobs[id] ?: return null
-        // A cancellation is stored before the shard is notified of it.
-        return if (job.phase == JobPhase.Cancelled) job.phase else job.committedPhase
-    }
+    public fun phaseOf(id: String): JobPhase? = jobs[id]?.visiblePhase
 
     /** Number of accepted jobs of a class without a started task. */
     public fun pending(classId: String): Int =
-        jobs.values.filter { it.record.jobClass.id == classId && !it.phase.isFinal }
-            .count { it.committedPhase == JobPhase.Queued }
+        jobs.values.count { it.record.jobClass.id == classId && it.phase == JobPhase.Queued }
 
     /** Number of jobs that have not ended. */
     public val activeJobs: Int get() = jobs.values.count { !it.phase.isFinal }
@@ -127,7 +122,6 @@
         val assigned = scheduling.place(active, workers.values, state::currentClass, now, wallMillis)
         for (t in assigned) {
             val job = jobs.getValue(t.ref.job)
-            if (job.phase == JobPhase.Queued) job.phase = JobPhase.Running
             job.outbox += Outgoing.Start(t.ref, t.attempt)
             unsaved += job.record.id
         }
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
@@ -112,6 +112,7 @@
             acknowledgeUnassigned(w, job, end)
             return
         }
+        job.recordBegun()
         val ranMillis = now - t.assignedAt
         state.logEvent(
             "attempt ended",
@@ -179,6 +180,7 @@
         for (t in w.assigned.values.toList()) {
             val row = running[t.ref]
             if (row != null) {
+                state.jobs[t.ref.job]?.recordBegun()
                 update(t, row, now)
             } else if (isStartCompleted(t, w, report) && report.reachable) {
                 state.logEvent("attempt lost", task = t.ref, attempt = t.attempt, worker = w.key.id)
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedJob.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedJob.kt
@@ -8,7 +8,7 @@
         spec.steps.mapIndexed { i, s -> TrackedStep(record.id, k, i, s) }
     }
 
-    /** Current phase; callers see [committedPhase]. */
+    /** Current phase; [JobPhase.Queued] until a worker is known to have begun a task. */
     var phase = JobPhase.Queued
 
     /** Phase in the last progress record that is known to be stored. */
@@ -76,6 +76,24 @@
         return wallMillis >= r.firstAtMillis + occurrence * r.intervalMillis
     }
 
+    /** Phase for callers, to whom the end of the job is shown once it is stored. */
+    val visiblePhase: JobPhase
+        get() = when {
+            // A cancellation is stored before the shard is notified of it.
+            phase == JobPhase.Cancelled || !phase.isFinal -> phase
+            committedPhase.isFinal -> committedPhase
+            else -> JobPhase.Running
+        }
+
+    /** Records that a worker has begun a task. */
+    fun recordBegun() {
+        if (phase == JobPhase.Queued) phase = JobPhase.Running
+    }
+
+    /** An assigned task may have begun by the time at which the record is read. */
+    private val recordedPhase: JobPhase
+        get() = if (phase == JobPhase.Queued && allTasks.any { it.worker != null }) JobPhase.Running else phase
+
     fun toProgress(): ProgressRecord {
         val workers = LinkedHashMap<String, Int>()
         val rows = allTasks.filter { it.attempt > 0 || it.done }.map { t ->
@@ -91,7 +109,7 @@
                 t.checkpoint,
             ).encode()
         }.toList()
-        return ProgressRecord(phase, workers.keys.toList(), rows)
+        return ProgressRecord(recordedPhase, workers.keys.toList(), rows)
     }
 
     /** Restores the state from [progress]. Returns the rows that are invalid or refer to no task of the job. */
@@ -113,8 +131,13 @@
             task.worker = progress.workers.getOrNull(row.worker)?.let(WorkerKey::parse)
             if (row.done) step.markDone(task)
         }
+        if (phase == JobPhase.Running && !mayHaveBegun()) phase = JobPhase.Queued
         return invalidRows
     }
+
+    /** Whether the restored record leaves open that a task has begun. The lists of workers show assigned ones. */
+    private fun mayHaveBegun(): Boolean = allTasks.none { it.worker != null } ||
+        allTasks.any { it.done || it.failures > 0 || it.checkpoint.isNotEmpty() }
 }
 
 /** A message to send once the state that it results from is stored. */
