Keep the starvation time of a job whose start is rejected

A backfill job without a running task gets one after its starvation time. It now ends when a worker lists the task.

The new test of PlacementTest failed on the old code and passes now.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TaskScheduling.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TaskScheduling.kt
@@ -47,10 +47,9 @@
         val now = candidates.now
         val t = job.readySteps(wallMillis).filter { it.spec.backfill && !it.spec.gang }
             .flatMap { it.tasks }.firstOrNull { it.isWaiting }
-        if (t == null || job.allTasks.any { it.worker != null }) {
-            job.starvedSince = null
-            return emptyList()
-        }
+        // A start may still be rejected, so only a task that has begun ends the time.
+        if (t == null || job.allTasks.any { it.firstReportedAt != null }) job.starvedSince = null
+        if (t == null || job.allTasks.any { it.worker != null }) return emptyList()
         val since = job.starvedSince ?: now.also { job.starvedSince = it }
         if (now - since < settings.starvationMillis) return emptyList()
         val step = job.step(t.ref) ?: return emptyList()
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/PlacementTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/PlacementTest.kt
@@ -138,6 +138,26 @@
         expectThat(h.starts.drop(2).map { it.second.task.job }).isEqualTo(listOf("00000000000000b2"))
     }
 
+    /** Guards against a job that waits its whole starvation time anew after each rejected start. */
+    @Test
+    fun `a starved job whose start is rejected gets its task without another wait`() {
+        val h = ShardHarness()
+        val backfill = step(2, cpu = 5_000).copy(backfill = true)
+        for (n in 1..2) h.report(n)
+        for (id in listOf("b1", "b2", "b3")) h.shard.accept(record(listOf(backfill), id), h.now)
+        h.settle()
+        repeat(3) {
+            for (n in 1..2) h.report(n)
+            h.tick(600)
+        }
+        h.settle()
+        val (session, start) = h.starts.drop(4).single()
+        val rejected = listOf(RejectedStart(start.task, start.attempt, "status 503", unhealthy = true))
+        val running = h.runningOn(session).filter { it.task != start.task }
+        h.report(session.toInt(), running = running) { it.copy(rejected = rejected) }
+        expectThat(h.starts.drop(5).map { it.second.task }).isEqualTo(listOf(start.task))
+    }
+
     /** Guards against a backfill task that stays throttled beside serving tasks while a free worker could run it. */
     @Test
     fun `a throttled backfill task moves to a worker without serving tasks`() {
