Count the longest lease for a worker that may have restarted under its id

Cause: the end of a lease is a time on the clock of one incarnation. A poll that was under way when the worker restarted gave the next incarnation, whose clock begins anew, the longest lease that a worker takes (6 s), while the owner counted the 3.34 s of its last grant.

Change: an agent reports the longest lease, a setting, for an incarnation that it has just met, and the owner counts the greater of that and of its grant. The model's late calls end with the process that received them. The budget of the fuzzer rises from 1,000,000 to 3,000,000 steps, since the longer count hides the planted faults NoGrace and RestartUnnoticed more often.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
@@ -24,7 +24,9 @@
         w.reachable = report.reachable
         w.health.recordSelfReport(report.healthy, now)
         w.leaseEndsAt = if (report.reachable) {
-            now + settings.leaseMillis * DRIFT_NUMERATOR / DRIFT_DENOMINATOR + settings.leaseSlackMillis
+            val granted = settings.leaseMillis * DRIFT_NUMERATOR / DRIFT_DENOMINATOR + settings.leaseSlackMillis
+            // A worker may hold a longer lease than any that was granted for this incarnation.
+            now + maxOf(granted, report.remainingLeaseMillis)
         } else {
             minOf(w.leaseEndsAt, now + report.remainingLeaseMillis)
         }
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/LinkModel.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/LinkModel.kt
@@ -15,7 +15,7 @@
     firstToken: Long,
     private val onUpdate: () -> Unit,
 ) {
-    private val lease = WorkerLease(sentUntil = sim.now + 3_000)
+    private val lease = WorkerLease(sentUntil = sim.now + WorkerModel.MAX_LEASE_MILLIS)
     private var token = firstToken
     private var connection = firstToken
     private var running = emptyList<RunningAttempt>()
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/SingleRunFuzzTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/SingleRunFuzzTest.kt
@@ -66,6 +66,6 @@
     }
 
     private companion object {
-        const val CI_STEPS = 1_000_000L
+        const val CI_STEPS = 3_000_000L
     }
 }
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/WorkerModel.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/WorkerModel.kt
@@ -121,7 +121,7 @@
         return true
     }
 
-    private companion object {
+    companion object {
         /** A worker shortens a longer lease to this one. */
         const val MAX_LEASE_MILLIS = 6_000L
     }
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/WorkerPath.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/WorkerPath.kt
@@ -53,18 +53,21 @@
         val callMode = if (sim.chance(affectedPercent)) mode else Mode.Responsive
         val delay = sim.between(0, 15)
         fun fail() = sim.after(timeout) { onResult(CallResult.Unknown) }
-        fun executeUnanswered() {
-            executorOf(target)?.let(execute)
+
+        // A call ends with the process that has received it.
+        fun executeUnanswered(lateMillis: Long) = sim.after(delay) {
+            val executor = executorOf(target)
+            sim.after(lateMillis) { if (executor != null && executor.isAlive) execute(executor) }
         }
         when (callMode) {
             Mode.Refused -> sim.after(delay) { onResult(CallResult.Refused) }
             Mode.NotExecuted -> fail()
             Mode.ResponseLost -> {
-                sim.after(delay) { executeUnanswered() }
+                executeUnanswered(0)
                 fail()
             }
             Mode.Late -> {
-                sim.after(sim.between(300, 4_000)) { executeUnanswered() }
+                executeUnanswered(sim.between(300, 4_000))
                 fail()
             }
             Mode.Responsive -> sim.after(delay) {
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/SchedulerAgent.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/SchedulerAgent.kt
@@ -172,7 +172,7 @@
         private val job: Job = scope.launch {
             val token = firstToken()
             val worker = fleetTaskWorker(first.address, key, WORKER_CONNECT_TIMEOUT, WORKER_CALL_TIMEOUT)
-            val workerLink = WorkerLink(profile, worker, token, clock)
+            val workerLink = WorkerLink(profile, worker, token, clock, options.maxLeaseMillis)
             link = workerLink
             workerLink.profile = profile
             try {
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/SchedulerAgentOptions.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/SchedulerAgentOptions.kt
@@ -19,7 +19,13 @@
     val store: String,
     /** Number of shards of the deployment, the same in all processes. */
     val shards: Int = 1,
-)
+    /** Longest lease that a worker takes, in milliseconds; it shortens longer ones. */
+    val maxLeaseMillis: Long = DEFAULT_MAX_LEASE_MILLIS,
+) {
+    companion object {
+        const val DEFAULT_MAX_LEASE_MILLIS = 6_000L
+    }
+}
 
 internal fun checkAgentOptions(o: SchedulerAgentOptions): List<SettingsProblem> = checkSettings {
     notBlank("instance", o.instance)
@@ -29,4 +35,5 @@
     address("metrics", o.metrics)
     address("store", o.store)
     range("shards", o.shards, 1..4_096)
+    holds("maxLeaseMillis", o.maxLeaseMillis in 1..600_000, "${o.maxLeaseMillis}", "1 to 600000")
 }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
@@ -32,13 +32,15 @@
 
 /**
  * Connection to one incarnation of the worker: extends its lease, executes commands and tracks its attempts.
- * [firstToken] must be greater than any fencing token that an earlier agent used on the worker.
+ * [firstToken] must be greater than any fencing token that an earlier agent used on the worker. [maxLeaseMillis] is the
+ * longest lease that the worker takes.
  */
 internal class WorkerLink(
     profile: WorkerProfile,
     private val worker: TaskWorker,
     firstToken: Long,
     private val clock: Clock,
+    maxLeaseMillis: Long = SchedulerAgentOptions.DEFAULT_MAX_LEASE_MILLIS,
 ) {
     /** Profile from the latest heartbeat. */
     @Volatile
@@ -50,8 +52,11 @@
     val health = HealthProbe(worker::isHealthy) { updates.trySend(Unit) }
     private val lock = Mutex()
 
-    /** Starts at the maximum, because an earlier agent may have extended the lease just before it terminated. */
-    private val lease = WorkerLease(sentUntil = clock.steady() + MAX_LEASE_MILLIS)
+    /**
+     * Starts at the maximum, because an earlier agent may have extended the lease just before it terminated, or a call
+     * meant for an earlier incarnation with the same id, whose clock was ahead.
+     */
+    private val lease = WorkerLease(sentUntil = clock.steady() + maxLeaseMillis)
     private val backfill = BackfillController()
     private val commands = CommandTracker()
     private val retryDelay = RetryDelay()
@@ -353,8 +358,6 @@
     }
 
     private companion object {
-        /** Length of the leases that owners grant. */
-        const val MAX_LEASE_MILLIS = 3_000L
 
         /** Long-poll time: the worker responds after it if no attempt ends. Each poll also extends the lease. */
         val POLL_WAIT = 800.milliseconds
