Take no attempt for lost while its worker's list of ends is cut

Cause: a worker lists 500 ends at a time, and none can be acknowledged while the store is down. The agent passed the cut list on as complete, so that the owner and, for a start without a response, the agent concluded that an attempt in neither list had never started.

Change: the adapter marks a list that reaches the limit, the report carries the mark, and neither side concludes anything from an absence in such a list.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
@@ -95,8 +95,13 @@
             val listed = report.running.map { it.task to it.attempt } + report.ended.map { it.task to it.attempt }
             val moved = listed.mapNotNull { (task, attempt) -> e.assigned[task]?.takeIf { it.attempt == attempt } }
             moved.forEach { state.reassign(it, e, w) }
-            state.releaseAll(e, "worker restarted")
-            state.workers.remove(e.key)
+            if (report.hasMoreEnds) {
+                // An attempt that is not listed yet may have ended here too.
+                e.leaseEndsAt = maxOf(e.leaseEndsAt, w.leaseEndsAt)
+            } else {
+                state.releaseAll(e, "worker restarted")
+                state.workers.remove(e.key)
+            }
         }
     }
 
@@ -184,7 +189,7 @@
             if (row != null) {
                 state.jobs[t.ref.job]?.recordBegun()
                 update(t, row, now)
-            } else if (isStartCompleted(t, w, report) && report.reachable) {
+            } else if (isStartCompleted(t, w, report) && report.reachable && !report.hasMoreEnds) {
                 state.logEvent("attempt lost", task = t.ref, attempt = t.attempt, worker = w.key.id)
                 state.unassign(w, t)
                 state.unsaved += t.ref.job
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/WorkerReport.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/WorkerReport.kt
@@ -11,6 +11,8 @@
     val running: List<RunningAttempt> = emptyList(),
     /** Ends that the scheduler has not acknowledged, ordered by number. */
     val ended: List<AttemptEnd> = emptyList(),
+    /** Whether more attempts have ended than the worker listed, so that one in neither list may have ended. */
+    val hasMoreEnds: Boolean = false,
     /** Recently rejected starts. The same rejection may be reported several times. */
     @SerialName("refused") val rejected: List<RejectedStart> = emptyList(),
     /** All commands up to this number were completed before [running] and [ended] were read. */
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/JobShardAttemptsTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/JobShardAttemptsTest.kt
@@ -156,6 +156,30 @@
         expectThat(h.starts.map { it.second.attempt }).containsExactly(1, 2)
     }
 
+    /** Guards against work that runs again because its worker has more ends than it lists at a time. */
+    @Test
+    fun `an attempt is not lost while its worker has ends that it does not list`() {
+        for (startedAt in listOf(1L, 2L)) {
+            val h = ShardHarness()
+            h.report(1)
+            h.shard.accept(record(listOf(step(2))), h.now)
+            h.settle()
+            val (a, b) = h.starts.map { it.second }
+            fun report(ended: List<AttemptEnd>, hasMoreEnds: Boolean) {
+                h.now += 500
+                h.report(1, session = startedAt, running = emptyList(), ended = ended, lastCompletedCommand = 2) {
+                    it.copy(profile = profile(1, startedAt), hasMoreEnds = hasMoreEnds)
+                }
+            }
+            repeat(10) { report(listOf(end(1, a, EndCause.Done)), hasMoreEnds = true) }
+            h.tick(500)
+            expectThat(h.starts).describedAs("incarnation $startedAt").hasSize(2)
+            report(listOf(end(2, b, EndCause.Done)), hasMoreEnds = false)
+            expectThat(h.starts).describedAs("incarnation $startedAt").hasSize(2)
+            expectThat(h.shard.phaseOf(JOB)).describedAs("incarnation $startedAt").isEqualTo(JobPhase.Completed)
+        }
+    }
+
     /** Guards against tasks that remain assigned to an earlier incarnation of a worker. */
     @Test
     fun `a new incarnation of a worker releases the attempts of the earlier one`() {
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/LinkModel.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/LinkModel.kt
@@ -20,6 +20,7 @@
     private var connection = firstToken
     private var running = emptyList<RunningAttempt>()
     private var ended = emptyList<AttemptEnd>()
+    private var hasMoreEnds = false
     private val rejected = mutableListOf<Pair<Long, RejectedStart>>()
     private val completed = HashSet<Long>()
     private var lastCompleted = 0L
@@ -66,6 +67,7 @@
             running = if (isComplete) running else emptyList(),
             isComplete = isComplete,
             ended = ended.filter { it.number > lastStoredEnd },
+            hasMoreEnds = hasMoreEnds,
             rejected = rejected.map { it.second },
             lastCompletedCommand = lastListedCommand,
             reachable = isReachable,
@@ -155,8 +157,12 @@
             else -> {
                 val isListed = running.any { it.task == command.task && it.attempt == command.attempt } ||
                     ended.any { it.task == command.task && it.attempt == command.attempt }
-                if (!isListed) reject(command, "no answer, and fenced since")
-                onDone()
+                if (!isListed && hasMoreEnds) {
+                    sim.after(150) { resolve(command, requiredToken, isCancelled, onDone) }
+                } else {
+                    if (!isListed) reject(command, "no answer, and fenced since")
+                    onDone()
+                }
             }
         }
     }
@@ -236,6 +242,7 @@
         lastListedEnd = maxOf(lastListedEnd, newest)
         running = lists.running
         ended = lists.ended
+        hasMoreEnds = lists.hasMoreEnds && sim.fault != PlantedFault.CutListIsComplete
         lastListedCommand = maxOf(lastListedCommand, upTo)
         if (hasNewEnd) onUpdate()
     }
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/PlantedFault.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/PlantedFault.kt
@@ -25,4 +25,7 @@
 
     /** The agent takes the lists of a worker that has restarted under its id for those of its earlier life. */
     RestartUnnoticed,
+
+    /** The agent takes a list of ends for complete that its worker has cut. */
+    CutListIsComplete,
 }
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/WorkerModel.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/WorkerModel.kt
@@ -22,6 +22,7 @@
         val time: Long,
         val running: List<RunningAttempt>,
         val ended: List<AttemptEnd>,
+        val hasMoreEnds: Boolean,
     )
 
     val profile: WorkerProfile = ShardHarness.profile(n, startedAt)
@@ -37,6 +38,7 @@
     /** Ends as done whose lease has not lapsed since, by number. */
     private val validEnds = HashMap<Long, DoneEnd>()
     private var lastEnd = 0L
+    private val endsPerList = if (sim.chance(30)) FEW_ENDS else MANY_ENDS
     private var greatestToken = 0L
     private var leaseUntil = 0L
     private val bornAt = sim.now
@@ -102,7 +104,13 @@
             val percent = (sim.now - it.startedAt) * 100 / (it.doneAt - it.startedAt)
             RunningAttempt(it.task, it.attempt, percent = percent.toInt())
         }
-        return Lists(profile.key.startedAtMillis, clock(), rows, ended.toList())
+        return Lists(
+            profile.key.startedAtMillis,
+            clock(),
+            rows,
+            ended.take(endsPerList),
+            hasMoreEnds = ended.size >= endsPerList,
+        )
     }
 
     /** Ends the process with all its runs. */
@@ -124,5 +132,9 @@
     companion object {
         /** A worker shortens a longer lease to this one. */
         const val MAX_LEASE_MILLIS = 6_000L
+
+        /** Few, so that lists of some tasks are cut. */
+        private const val FEW_ENDS = 3
+        private const val MANY_ENDS = 500
     }
 }
--- a/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerService.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerService.kt
@@ -119,7 +119,7 @@
                     JsonPrimitive(progressPercent(r, now)),
                 )
             }
-            val ends = ended.map { e ->
+            val ends = ended.take(ENDS_PER_LIST).map { e ->
                 listOf(
                     JsonPrimitive(e.number),
                     JsonPrimitive(e.task),
@@ -180,6 +180,9 @@
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
         const val CONFLICT = 409
+
+        /** A worker lists at most this many ends at a time. */
+        const val ENDS_PER_LIST = 500
         const val UNAVAILABLE = 503
 
         /** Health check path in the configurations that tests write. */
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/ListedAttempts.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/ListedAttempts.kt
@@ -19,6 +19,10 @@
     var ended = emptyList<AttemptEnd>()
         private set
 
+    /** Whether more attempts have ended than [ended] shows. */
+    var hasMoreEnds = false
+        private set
+
     /** Time of the lists on the worker's clock, in milliseconds. */
     var listedAt = 0L
         private set
@@ -45,6 +49,7 @@
         listedAt = time
         running = lists.running
         ended = lists.ended
+        hasMoreEnds = lists.hasMoreEnds
         lastEnd = new.maxOfOrNull { it.number } ?: lastEnd
         this.lastCommand = maxOf(this.lastCommand, lastCommand)
         return Update(hasNewEnd = new.isNotEmpty(), hasNewFailure = new.any { it.cause == EndCause.Failed })
@@ -60,7 +65,10 @@
         lastCommand = 0
     }
 
-    /** Whether the lists have the attempt, as running or ended. */
-    fun contain(task: TaskRef, attempt: Int): Boolean = running.any { it.task == task && it.attempt == attempt } ||
-        ended.any { it.task == task && it.attempt == attempt }
+    /** Whether the worker has the attempt, as running or ended; null if the list of ends may lack it. */
+    fun find(task: TaskRef, attempt: Int): Boolean? {
+        val isListed = running.any { it.task == task && it.attempt == attempt } ||
+            ended.any { it.task == task && it.attempt == attempt }
+        return if (!isListed && hasMoreEnds) null else isListed
+    }
 }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
@@ -164,6 +164,7 @@
             running = if (isComplete) backfill.withShares(attempts.running) else emptyList(),
             isComplete = isComplete,
             ended = attempts.unstoredEnds,
+            hasMoreEnds = attempts.hasMoreEnds,
             rejected = rejections.current(now),
             lastCompletedCommand = attempts.lastCommand,
             reachable = isReachable,
@@ -306,7 +307,7 @@
 
     /**
      * Determines the result of a start without a response. The worker may execute the start until it has a greater
-     * token; lists read after that show whether the attempt exists.
+     * token; lists read after that show whether the attempt exists, unless there are more ends than they hold.
      */
     private suspend fun resolveStart(command: WorkerCommand.Start, detail: String) {
         logger.event(
@@ -320,13 +321,14 @@
             restarts.recordFailedCall()
             ++token
         }
-        while (true) {
+        var isListed: Boolean? = null
+        while (isListed == null) {
             val error = poll(Duration.ZERO)
-            val isSettled = error == null && lock.withLock { token >= requiredToken }
-            if (isSettled) break
-            delay(retryDelay.current)
+            isListed = lock.withLock {
+                if (error != null || token < requiredToken) null else attempts.find(command.task, command.attempt)
+            }
+            if (isListed == null) delay(if (error == null) STORE_ACK_WAIT else retryDelay.current)
         }
-        val isListed = lock.withLock { attempts.contain(command.task, command.attempt) }
         if (!isListed) reject(command, "no answer, and fenced since")
     }
 
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/WorkerLinkTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/WorkerLinkTest.kt
@@ -144,6 +144,28 @@
         expectThat(link.report(isFenced = true).lastCompletedCommand).isEqualTo(0)
     }
 
+    /** Guards against a start that counts as rejected although its attempt has ended and is not listed yet. */
+    @Test
+    fun `a start without a response is not rejected while the worker has ends that it does not list`() = runTest {
+        val link = linkWithLease()
+        val command = launch { link.execute(startCommand(1)) }
+        runCurrent()
+        worker.starts.receive().response.complete(StartResult.Unknown("lost"))
+        runCurrent()
+        val other = AttemptEnd(1, task.copy(index = 9), 1, EndCause.Done)
+        val cut = WorkerAttempts(WorkerTime(1_100), emptyList(), listOf(other), hasMoreEnds = true)
+        worker.polls.receive().respond(cut)
+        testScheduler.advanceTimeBy(200)
+        runCurrent()
+        expectThat(link.report(isFenced = true).rejected).isEmpty()
+        expectThat(link.report(isFenced = true).hasMoreEnds).isEqualTo(true)
+        val ended = listOf(AttemptEnd(2, task, 1, EndCause.Done))
+        worker.polls.receive().respond(WorkerAttempts(WorkerTime(1_200), emptyList(), ended))
+        command.join()
+        expectThat(link.report(isFenced = true).rejected).isEmpty()
+        expectThat(link.report(isFenced = true).ended.map { it.task }).containsExactly(task)
+    }
+
     /** Guards against a worker whose lease is extended beyond the end that the owner was told. */
     @Test
     fun `a silent worker is sent no lease that exceeds the reported one`() = runTest {
