--- a/core/src/test/kotlin/org/camphorhall/core/jobs/JobShardAttemptsTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/JobShardAttemptsTest.kt
@@ -144,6 +144,21 @@
         expectThat(h.starts.map { it.first to it.second.attempt }).containsExactly(1L to 1, 2L to 2)
     }
 
+    /** Guards against a second attempt while a worker holds a lease that was meant for its earlier incarnation. */
+    @Test
+    fun `tasks of a worker with a longer lease than its owner granted are reassigned only after that`() {
+        h.report(1)
+        h.shard.accept(record(listOf(step(1))), h.now)
+        h.settle()
+        h.report(1) { it.copy(remainingLeaseMillis = 6_000) }
+        h.shard.detach(1)
+        h.tick(5_900)
+        h.report(2, running = emptyList())
+        expectThat(h.starts).hasSize(1)
+        h.tick(200)
+        expectThat(h.starts.map { it.first to it.second.attempt }).containsExactly(1L to 1, 2L to 2)
+    }
+
     /** Guards against waiting forever for an attempt that was never started. */
     @Test
     fun `an attempt that is not reported after its start command completed is restarted`() {
