Test the restart of workers under their ids with real processes

The stand-in of the fleet can restart a worker: it ends with all its runs, listens again at its address after 1 s, with a new clock, new numbers and a new start time, and announces itself 1.5 s later. RestartedWorkerTest hands in 120 jobs meanwhile.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedJob.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedJob.kt
@@ -131,13 +131,13 @@
             task.worker = progress.workers.getOrNull(row.worker)?.let(WorkerKey::parse)
             if (row.done) step.markDone(task)
         }
-        if (phase == JobPhase.Running && !mayHaveBegun()) phase = JobPhase.Queued
+        if (phase == JobPhase.Running && isOnlyAssigned()) phase = JobPhase.Queued
         return invalidRows
     }
 
-    /** Whether the restored record leaves open that a task has begun. The lists of workers show assigned ones. */
-    private fun mayHaveBegun(): Boolean = allTasks.none { it.worker != null } ||
-        allTasks.any { it.done || it.failures > 0 || it.checkpoint.isNotEmpty() }
+    /** Whether tasks are assigned and none shows a result. The lists of their workers tell whether one has begun. */
+    private fun isOnlyAssigned(): Boolean = allTasks.any { it.worker != null } &&
+        allTasks.none { it.done || it.failures > 0 || it.checkpoint.isNotEmpty() }
 }
 
 /** A message to send once the state that it results from is stored. */
--- a/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetCommand.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetCommand.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
 import org.camphorhall.dev.ServerCommand
 import org.camphorhall.dev.http.BufferedResponse
 import org.camphorhall.dev.http.TestServer
@@ -30,9 +31,17 @@
         val scope = CoroutineScope(Dispatchers.Default)
         val store = FleetStoreService()
         val oracle = FleetOracle()
+        val workers = agents.mapIndexed { i, agent ->
+            FleetWorkerHost("worker-$i", host, agent, scope) { FleetWorkerService(it, service, cpu, oracle) }
+        }
         val server = TestServer.start(host, port, store.faults) {
             store.defineEndpoints(this)
             debugEndpoint(HttpMethod.Get, "/debug/runs") { BufferedResponse.json(oracle.report()) }
+            debugEndpoint(HttpMethod.Put, "/debug/workers/{index}/restart") { call ->
+                val worker = workers[call.parameters["index"].orEmpty().toInt()]
+                scope.launch { worker.restart(DOWN) }
+                BufferedResponse()
+            }
         }
         scope.launch {
             while (true) {
@@ -40,27 +49,18 @@
                 store.expireLeases()
             }
         }
-        val workers = agents.mapIndexed { i, agent ->
-            val worker = FleetWorkerService("worker-$i", service, cpu, oracle)
-            val workerServer = TestServer.start(host, 0, worker.faults) { worker.defineEndpoints(this) }
-            scope.launch { worker.sendHeartbeats(agent, "$host:${workerServer.port}") }
-            scope.launch {
-                while (true) {
-                    worker.endFinishedRuns()
-                    delay(RUN_CHECK_PERIOD)
-                }
-            }
-            workerServer
-        }
+        workers.forEach { it.start() }
         val ports = workers.mapIndexed { i, w -> ",\"worker$i\":${w.port}" }.joinToString("")
         return StartedServer(server.port, ports) {
             server.stop()
-            workers.forEach { it.stop() }
+            runBlocking { workers.forEach { it.stop() } }
         }
     }
 
     private companion object {
         val LEASE_CHECK_PERIOD = 50.milliseconds
-        val RUN_CHECK_PERIOD = 10.milliseconds
+
+        /** Time between two incarnations of a worker. */
+        val DOWN = 1_000.milliseconds
     }
 }
--- a/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerService.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerService.kt
@@ -17,17 +17,18 @@
 import org.camphorhall.dev.http.Endpoints
 import org.camphorhall.dev.http.FaultInjector
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 /**
  * HTTP API of a worker of the users' platform. Its tasks are timers: the spec of a job is the run time in milliseconds.
- * [cpu] is the capacity in millicores; [clock] returns monotonic milliseconds.
+ * [cpu] is the capacity in millicores; [clock] returns monotonic milliseconds, by default from the start of the worker.
  */
 internal class FleetWorkerService(
     private val id: String,
     private val service: String,
     private val cpu: Long,
     oracle: FleetOracle = FleetOracle(),
-    private val clock: () -> Long = { System.nanoTime() / NANOS_PER_MILLI },
+    private val clock: () -> Long = newClock(),
 ) {
     private val born = System.currentTimeMillis()
     private val state = FleetWorkerState(cpu, oracle, id)
@@ -59,6 +60,9 @@
     /** Ends runs that are complete or whose lease expired; a worker does this without a request. */
     fun endFinishedRuns() = locked { endFinishedRuns(clock()) }
 
+    /** Ends all runs, as the end of the process does. */
+    fun crash() = locked { endAll() }
+
     /** Sends heartbeats for this worker, which listens on [ownAddress], to [address] until cancelled. */
     suspend fun sendHeartbeats(address: String, ownAddress: String) {
         val client = HttpClient(CIO)
@@ -178,12 +182,16 @@
     )
 
     private companion object {
-        const val NANOS_PER_MILLI = 1_000_000L
+        fun newClock(): () -> Long {
+            val start = TimeSource.Monotonic.markNow()
+            return { start.elapsedNow().inWholeMilliseconds }
+        }
+
         const val CONFLICT = 409
+        const val UNAVAILABLE = 503
 
         /** A worker lists at most this many ends at a time. */
         const val ENDS_PER_LIST = 500
-        const val UNAVAILABLE = 503
 
         /** Health check path in the configurations that tests write. */
         const val HEALTH_PATH = "/health"
--- a/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerState.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerState.kt
@@ -65,6 +65,12 @@
         ended.forEach { it.isLeaseExpired = true }
     }
 
+    /** Ends all runs without listing them. */
+    fun endAll() {
+        running.keys.forEach { oracle.recordEnd(id, it, isCompleted = false) }
+        running.clear()
+    }
+
     /** Removes the listed ends up to and including number [upTo]. */
     fun acknowledgeEnds(upTo: Long) {
         ended.filter { it.number <= upTo && it.cause == DONE && !it.isLeaseExpired }
--- /dev/null
+++ b/e2e/src/test/kotlin/org/camphorhall/e2e/RestartedWorkerTest.kt
@@ -0,0 +1,42 @@
+package org.camphorhall.e2e
+
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import java.nio.file.Path
+
+/** Workers that restart under their ids and send their first heartbeat later than they execute calls. */
+internal class RestartedWorkerTest {
+    @TempDir
+    lateinit var dir: Path
+
+    /** Guards against work that runs again because the ends of a worker's next life are lost. */
+    @Test
+    fun `no task runs again after a worker restarts under its id`() {
+        SchedulerDeployment(dir, workers = 2, entries = 1).use { d ->
+            val entry = d.entries.single()
+            awaitCondition("the entry accepts a job") { d.submit(entry, jobId(0), RUN_MILLIS) == HTTP_OK }
+            val accepted = mutableSetOf(jobId(0))
+            for (n in 1..JOBS) {
+                if (n % RESTART_PERIOD == 0) d.restartWorker(n / RESTART_PERIOD % 2)
+                if (d.submit(entry, jobId(n), RUN_MILLIS) == HTTP_OK) accepted += jobId(n)
+                Thread.sleep(JOB_PERIOD_MILLIS)
+            }
+            awaitCondition("the accepted jobs complete") { accepted.all { d.jobState(entry, it) == "completed" } }
+            expectThat(d.runs().violations).isEmpty()
+        }
+    }
+
+    private fun jobId(n: Int) = "%016x".format(n + 1)
+
+    private companion object {
+        const val HTTP_OK = SchedulerDeployment.HTTP_OK
+        const val JOBS = 120
+        const val JOB_PERIOD_MILLIS = 100L
+        const val RUN_MILLIS = 200
+
+        /** Jobs between two restarts. */
+        const val RESTART_PERIOD = 40
+    }
+}
--- a/e2e/src/test/kotlin/org/camphorhall/e2e/SchedulerDeployment.kt
+++ b/e2e/src/test/kotlin/org/camphorhall/e2e/SchedulerDeployment.kt
@@ -69,6 +69,9 @@
     /** Injects faults into the key-value service; an empty object ends them. */
     fun setStoreFaults(faults: String) = send("PUT", "http://127.0.0.1:$storePort/faults", faults)
 
+    /** Restarts a worker under its id at its address. Its first heartbeat comes 1.5 s after it listens again. */
+    fun restartWorker(index: Int) = send("PUT", "http://127.0.0.1:$storePort/debug/workers/$index/restart")
+
     fun runs(): RunReport =
         Json.decodeFromString(checkNotNull(send("GET", "http://127.0.0.1:$storePort/debug/runs")?.body()))
 
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/BackfillShares.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/BackfillShares.kt
@@ -11,7 +11,7 @@
 
 private val logger = KotlinLogging.logger {}
 
-/** Sets the shares that [backfill] computes on the [worker]. The state of the link is read under [lock]. */
+/** Sets the shares that [backfill] computes on [worker], and logs their effect. State is read under [lock]. */
 internal class BackfillShares(
     private val worker: TaskWorker,
     private val backfill: BackfillController,
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
@@ -77,7 +77,7 @@
     /** Whether another incarnation with another id has responded, so that this one has ended. */
     private var isReplaced = false
 
-    private val restarts = RestartCheck()
+    private val restartCheck = RestartCheck()
     private val shares = BackfillShares(worker, backfill, lock, clock)
     private val endStored = Channel<Unit>(Channel.CONFLATED)
 
@@ -139,7 +139,7 @@
     /** Whether the worker has been fenced and its lists were read for the current connection. */
     suspend fun isFenced(): Boolean = lock.withLock { fencedConnection == connection }
 
-    private suspend fun isConfirmed(): Boolean = lock.withLock { restarts.isConfirmed }
+    private suspend fun isConfirmed(): Boolean = lock.withLock { restartCheck.isConfirmed }
 
     suspend fun execute(command: WorkerCommand) {
         when (command) {
@@ -189,12 +189,12 @@
             val until = if (isRefused) null else lease.send(clock.steady())
             PollRequest(
                 token,
-                lastStoredEnd = if (restarts.isConfirmed) attempts.lastStoredEnd else 0,
+                lastStoredEnd = if (restartCheck.isConfirmed) attempts.lastStoredEnd else 0,
                 until,
                 commands.connectionNumber,
                 commands.lastCompleted,
                 clock.steady(),
-                restarts.failedCalls,
+                restartCheck.failedCalls,
             )
         }
         return when (val r = worker.poll(call.token, call.lastStoredEnd, call.until, wait)) {
@@ -224,7 +224,7 @@
             lastResponseAt = now
             if (isRefused) updates.trySend(Unit)
             isRefused = false
-            restarts.recordLists(call.failedCalls)
+            restartCheck.recordLists(call.failedCalls)
             retryDelay.reset()
             if (call.token >= connection) fencedConnection = connection
             val lastCommand = if (call.connectionNumber == commands.connectionNumber) call.lastCompletedCommand else 0
@@ -243,7 +243,7 @@
         val (leaseMillis, isUrgent) = lock.withLock {
             val wasRefused = isRefused
             val wasReplaced = isReplaced
-            restarts.recordFailedCall()
+            restartCheck.recordFailedCall()
             when (error) {
                 is WorkerError.Refused, WorkerError.Restarted -> isRefused = true
                 WorkerError.OtherLife -> {
@@ -266,10 +266,10 @@
     }
 
     private suspend fun start(command: WorkerCommand.Start) {
-        val isCheckDue = lock.withLock { !restarts.isConfirmed && lease.endOnWorkerClock(clock.steady()) != null }
+        val isCheckDue = lock.withLock { !restartCheck.isConfirmed && lease.endOnWorkerClock(clock.steady()) != null }
         if (isCheckDue) poll(Duration.ZERO)
         val call = lock.withLock {
-            val until = if (profile.draining || !restarts.isConfirmed) null else lease.send(clock.steady())
+            val until = if (profile.draining || !restartCheck.isConfirmed) null else lease.send(clock.steady())
             if (until == null) {
                 null
             } else {
@@ -318,7 +318,7 @@
             "reason" to detail,
         )
         val requiredToken = lock.withLock {
-            restarts.recordFailedCall()
+            restartCheck.recordFailedCall()
             ++token
         }
         var isListed: Boolean? = null
