--- a/e2e/src/test/kotlin/org/camphorhall/e2e/SchedulerSoakTest.kt
+++ b/e2e/src/test/kotlin/org/camphorhall/e2e/SchedulerSoakTest.kt
@@ -82,6 +82,7 @@
             3 -> pauseFault(agent)
             4 -> killAllFault(d.agents)
             5 -> relayFault((d.storeRelays + d.agentRelays).random(random), random)
+            6 -> restartFault(d, random)
             else -> storeFault(d, storeFault)
         }
     }
@@ -96,6 +97,11 @@
         return { p.resume() }
     }
 
+    private fun restartFault(d: SchedulerDeployment, random: Random): () -> Unit {
+        d.restartWorker(random.nextInt(d.agents.size))
+        return { }
+    }
+
     private fun killAllFault(all: List<LaunchedProcess>): () -> Unit {
         all.forEach { it.kill() }
         return { all.forEach { it.restart() } }
@@ -124,7 +130,7 @@
         const val TASKS_PER_JOB = 4
 
         /** Equally likely choices of a fault; the last three are faults of the key-value service. */
-        const val FAULT_CHOICES = 9
+        const val FAULT_CHOICES = 10
 
         const val SHORT_RUN_MILLIS = 100
         const val LONG_RUN_MILLIS = 1_500
