--- a/core/src/test/kotlin/org/camphorhall/core/jobs/JobShardAttemptsTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/JobShardAttemptsTest.kt
@@ -207,15 +207,15 @@
         expectThat(h.starts.map { it.first to it.second.attempt }).containsExactly(1L to 1, 2L to 2)
     }
 
-    private class RestartCase(val isComplete: Boolean, val hasRow: Boolean, val starts: Int, val acknowledged: Long)
+    private class RestartCase(val isComplete: Boolean, val isRunning: Boolean, val acknowledged: Long)
 
     private val restartCases = mapOf(
-        "the end in a complete report" to RestartCase(isComplete = true, hasRow = false, starts = 1, acknowledged = 1),
-        "the end in an incomplete one" to RestartCase(isComplete = false, hasRow = false, starts = 1, acknowledged = 0),
-        "a running attempt" to RestartCase(isComplete = true, hasRow = true, starts = 1, acknowledged = 0),
+        "the end in a complete report" to RestartCase(isComplete = true, isRunning = false, acknowledged = 1),
+        "the end in an incomplete one" to RestartCase(isComplete = false, isRunning = false, acknowledged = 0),
+        "a running attempt" to RestartCase(isComplete = true, isRunning = true, acknowledged = 0),
     )
 
-    /** Guards against work that runs again after a start reached the next life of a worker, where it ended as done. */
+    /** Guards against work that runs again after a start reached the next incarnation of a worker and ended. */
     @Test
     fun `an attempt that a worker restarted under its id lists belongs to that worker`() {
         for ((name, case) in restartCases) {
@@ -227,10 +227,10 @@
             val restarted: (WorkerReport) -> WorkerReport = {
                 it.copy(profile = profile(1, startedAt = 2), isComplete = case.isComplete)
             }
-            val row = listOf(RunningAttempt(o.task, o.attempt)).filter { case.hasRow }
-            val ends = listOf(end(1, o, EndCause.Done)).filter { !case.hasRow }
+            val row = listOf(RunningAttempt(o.task, o.attempt)).filter { case.isRunning }
+            val ends = listOf(end(1, o, EndCause.Done)).filter { !case.isRunning }
             h.report(1, session = 2, running = row, ended = ends, change = restarted)
-            expectThat(h.starts).describedAs(name).hasSize(case.starts)
+            expectThat(h.starts).describedAs(name).hasSize(1)
             expectThat(h.acknowledged[2]).describedAs(name).isEqualTo(case.acknowledged)
             h.report(1, session = 2, running = row, ended = ends) { it.copy(profile = profile(1, startedAt = 2)) }
             expectThat(h.starts).describedAs("$name, later").hasSize(1)
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/PlantedFault.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/PlantedFault.kt
@@ -23,7 +23,7 @@
     /** A new owner does not wait for the grants of earlier owners. */
     NoGrace,
 
-    /** The agent takes the lists of a worker that has restarted under its id for those of its earlier life. */
+    /** The agent takes the lists of a worker that has restarted under its id for those of the one before. */
     RestartUnnoticed,
 
     /** The agent takes a list of ends for complete that its worker has cut. */
--- a/e2e/src/test/kotlin/org/camphorhall/e2e/RestartedWorkerTest.kt
+++ b/e2e/src/test/kotlin/org/camphorhall/e2e/RestartedWorkerTest.kt
@@ -11,7 +11,7 @@
     @TempDir
     lateinit var dir: Path
 
-    /** Guards against work that runs again because the ends of a worker's next life are lost. */
+    /** Guards against work that runs again because the ends of a worker's next incarnation are lost. */
     @Test
     fun `no task runs again after a worker restarts under its id`() {
         SchedulerDeployment(dir, workers = 2, entries = 1).use { d ->
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/RestartCheck.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/RestartCheck.kt
@@ -1,9 +1,9 @@
 package org.camphorhall.scheduler.agent
 
 /**
- * Tracks whether the worker may have restarted under its id since its lists were last read. A restarted worker would
- * forget its own ends up to an acknowledged number of its earlier life, and would run what is started there. Not
- * thread-safe.
+ * Tracks whether the worker may have restarted under its id since its lists were last read. The new incarnation would
+ * forget its own ends up to a number that acknowledges those of the one before, and would run what is started there.
+ * Not thread-safe.
  */
 internal class RestartCheck {
     /** Number of calls without a usable response. */
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/WorkerLinkTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/WorkerLinkTest.kt
@@ -366,7 +366,7 @@
         run.cancel()
     }
 
-    /** Guards against a restarted worker that forgets its ends because a call names the numbers of its earlier life. */
+    /** Guards against a restarted worker that forgets its ends because a call names numbers from before. */
     @Test
     fun `a worker that may have restarted is told no end number and no start until its lists are read`() = runTest {
         val errors = listOf(
@@ -400,9 +400,9 @@
         }
     }
 
-    /** Guards against attempts that are given up or restarted although the next life of their worker runs them. */
+    /** Guards against attempts that are given up although the next incarnation of their worker runs them. */
     @Test
-    fun `a worker restarted under its id is neither usable nor terminated, and gets no lease of its earlier life`() =
+    fun `a worker restarted under its id is neither usable nor terminated, and gets no lease from before`() =
         runTest {
             val link = linkWithLease()
             val run = launch { link.run() }
