End the runs of a restarted stand-in worker after its server

The host of the stand-in ended the runs first and then stopped the HTTP server, which goes on with calls for up to 0.6 s. A start in that time was recorded as a run that never ends. The server stops first now.

--- a/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerHost.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerHost.kt
@@ -63,8 +63,9 @@
         val stopped = current ?: return
         current = null
         stopped.job.cancelAndJoin()
-        stopped.worker.crash()
+        // The server executes calls until it has stopped.
         withContext(Dispatchers.IO) { stopped.server.stop() }
+        stopped.worker.crash()
     }
 
     private companion object {
