Split the tests of a restarted worker's link from WorkerLinkTest

The two tests of a worker that may have restarted move to WorkerLinkRestartTest, and what both classes build on to LinkFixtures.

--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/WorkerLinkTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/WorkerLinkTest.kt
@@ -36,38 +36,12 @@
 @OptIn(ExperimentalCoroutinesApi::class)
 internal class WorkerLinkTest {
     private val worker = ScriptedWorker()
-    private val task = TaskRef("00000000000000aa", 0, 0, 0)
-    private val profile =
-        WorkerProfile(WorkerKey("instance", "worker", 1), "service", "zone", Resources(1_000, 1_000))
+    private val task = LINK_TASK
+    private val profile = LINK_PROFILE
 
-    private fun TestScope.link() = WorkerLink(
-        profile,
-        worker,
-        firstToken = 100,
-        object : Clock {
-            override fun steady(): Long = currentTime + 1
+    private fun TestScope.link() = workerLink(worker)
 
-            override fun wall(): Long = currentTime + 1
-        },
-    )
-
-    private fun lists(millis: Long, vararg running: TaskRef) =
-        WorkerAttempts(WorkerTime(millis), running.map { RunningAttempt(it, 1) }, emptyList())
-
-    private fun ScriptedWorker.Poll.respond(lists: WorkerAttempts) = response.complete(Either.Right(lists))
-
-    /** A link that has read the worker's clock and has a lease. */
-    private suspend fun TestScope.linkWithLease(): WorkerLink {
-        val link = link()
-        val fence = launch { link.fence() }
-        runCurrent()
-        worker.polls.receive().respond(lists(1_000))
-        fence.join()
-        link.grantLease(currentTime + 1, leaseMillis = 60_000)
-        return link
-    }
-
-    private fun startCommand(number: Long) = WorkerCommand.Start(number, task, 1, "payload", "", TaskProfile())
+    private suspend fun TestScope.linkWithLease(): WorkerLink = linkWithLease(worker)
 
     /** Guards against an attempt that is treated as lost because an older list arrived after a newer one. */
     @Test
@@ -365,55 +339,4 @@
         expectThat(link.isFenced()).describedAs("after a poll with the new token").isEqualTo(true)
         run.cancel()
     }
-
-    /** Guards against a restarted worker that forgets its ends because a call names numbers from before. */
-    @Test
-    fun `a worker that may have restarted is told no end number and no start until its lists are read`() = runTest {
-        val errors = listOf(
-            WorkerError.Unknown("lost"),
-            WorkerError.Refused("connection refused"),
-            WorkerError.Failed("status 500"),
-        )
-        for (error in errors) {
-            val link = linkWithLease()
-            link.recordStored(7)
-            val run = launch { link.run() }
-            runCurrent()
-            val poll = worker.polls.receive()
-            expectThat(poll.lastSeenEnd).describedAs("before $error").isEqualTo(7)
-            poll.response.complete(Either.Left(error))
-            runCurrent()
-            val command = launch { link.execute(startCommand(1)) }
-            runCurrent()
-            expectThat(worker.starts.tryReceive().isSuccess).describedAs("start after $error").isFalse()
-            val check = worker.polls.receive()
-            expectThat(check.lastSeenEnd).describedAs("after $error").isEqualTo(0)
-            check.respond(lists(1_500))
-            runCurrent()
-            worker.starts.receive().response.complete(StartResult.Started)
-            command.join()
-            testScheduler.advanceTimeBy(500)
-            expectThat(worker.polls.receive().lastSeenEnd).describedAs("after the lists").isEqualTo(7)
-            run.cancel()
-            runCurrent()
-            while (worker.polls.tryReceive().isSuccess) Unit
-        }
-    }
-
-    /** Guards against attempts that are given up although the next incarnation of their worker runs them. */
-    @Test
-    fun `a worker restarted under its id is neither usable nor terminated, and gets no lease from before`() =
-        runTest {
-            val link = linkWithLease()
-            val run = launch { link.run() }
-            runCurrent()
-            worker.polls.receive().response.complete(Either.Left(WorkerError.Restarted))
-            runCurrent()
-            val report = link.report(isFenced = true)
-            expectThat(report.reachable).isFalse()
-            expectThat(report.terminated).isFalse()
-            testScheduler.advanceTimeBy(500)
-            expectThat(worker.polls.receive().leaseUntil).isNull()
-            run.cancel()
-        }
 }
