Catch the end of a connection in SchedulerServiceTest

The suppressed exception names the cause: the agent's connection of SchedulerServiceTest ends with an EOFException when the test is closed, as PeerConnection.run always ends with an IOException, and nothing caught it. kotlinx-coroutines-test fails the next runTest of the process for it.

--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/SchedulerServiceTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/SchedulerServiceTest.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.channels.Channel
@@ -15,6 +16,7 @@
 import org.camphorhall.core.jobs.WorkerProfile
 import org.camphorhall.core.jobs.WorkerReport
 import org.camphorhall.core.model.Resources
+import org.camphorhall.scheduler.peer.PeerConnection
 import org.camphorhall.scheduler.peer.PeerFrame
 import org.camphorhall.scheduler.peer.PeerServer
 import org.camphorhall.scheduler.peer.PeerSockets
@@ -64,20 +66,24 @@
         sockets.close()
     }
 
+    /** Passes the frames of [connection] to [onFrame] until the connection ends, for example by [close]. */
+    private fun launchReading(connection: PeerConnection, onFrame: suspend (PeerFrame) -> Unit): Job = scope.launch {
+        try {
+            connection.run(onFrame)
+        } catch (_: IOException) {
+            // Left uncaught, it would fail the next test of this process that calls runTest.
+        }
+    }
+
     /** Attaches an agent; the result is the first owner that it is told of, or null if the connection ends without. */
     private suspend fun attachedUntilNewOwner(onAttached: suspend () -> Unit = {}): ShardOwnerRecord? {
         val told = CompletableDeferred<ShardOwnerRecord?>()
         val connection = sockets.open(address)
-        scope.launch {
-            try {
-                connection.run { frame ->
-                    if (frame is PeerFrame.NewOwner) told.complete(frame.owner)
-                    if (frame is PeerFrame.FromOwner) onAttached()
-                }
-            } catch (e: IOException) {
-                told.complete(null)
-            }
+        val reading = launchReading(connection) { frame ->
+            if (frame is PeerFrame.NewOwner) told.complete(frame.owner)
+            if (frame is PeerFrame.FromOwner) onAttached()
         }
+        reading.invokeOnCompletion { told.complete(null) }
         connection.send(PeerFrame.FromAgent(report))
         return withTimeoutOrNull(5.seconds) { told.await() }
     }
@@ -120,9 +126,7 @@
         scope.launch { shard.run(graceMillis = 0) }
         val messages = Channel<OwnerMessage>(Channel.UNLIMITED)
         val connection = sockets.open(address)
-        scope.launch {
-            connection.run { if (it is PeerFrame.FromOwner) messages.send(it.message) }
-        }
+        launchReading(connection) { if (it is PeerFrame.FromOwner) messages.send(it.message) }
         val leases = listOf(0L, 2L, 1L).map { epoch ->
             connection.send(PeerFrame.FromAgent(AgentMessage(1, report.report, epoch)))
             withTimeout(5.seconds) { messages.receive() }.also { expectThat(it.epoch).isEqualTo(1) }.leaseMillis
