Log each stop that an owner sends, with its cause

An owner logged no stop, so that a record of a task that runs on did not show whether stops were sent and failed, or not sent at all. The line 'stop sent' has the task, attempt, worker, cause and, like all lines of an owner, its epoch.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
@@ -196,7 +196,7 @@
             }
         }
         for (row in report.running) {
-            if (w.assigned[row.task]?.attempt != row.attempt) state.sendStop(w, row.task, row.attempt)
+            if (w.assigned[row.task]?.attempt != row.attempt) state.sendStop(w, row.task, row.attempt, "not assigned")
         }
     }
 
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/ShardState.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ShardState.kt
@@ -34,18 +34,19 @@
                 // No start command was sent; the pending one is dropped once its record is stored.
                 unassign(w, t)
             } else {
-                stop(w, t, now)
+                stop(w, t, "job ended: ${phase.name}", now)
             }
         }
     }
 
-    fun stop(w: TrackedWorker, t: TrackedTask, now: Long) {
+    fun stop(w: TrackedWorker, t: TrackedTask, cause: String, now: Long) {
         t.stopSentAt = now
-        sendStop(w, t.ref, t.attempt)
+        sendStop(w, t.ref, t.attempt, cause)
     }
 
-    fun sendStop(w: TrackedWorker, task: TaskRef, attempt: Int) {
+    fun sendStop(w: TrackedWorker, task: TaskRef, attempt: Int, cause: String) {
         val session = w.session ?: return
+        logEvent("stop sent", task = task, attempt = attempt, worker = w.key.id, detail = cause)
         outputs += ShardOutput.Send(session, WorkerCommand.Stop(++w.lastCommand, task, attempt))
     }
 
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TaskMoves.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TaskMoves.kt
@@ -22,13 +22,13 @@
 
     private fun move(w: TrackedWorker, t: TrackedTask, cause: String, now: Long) {
         state.logEvent("attempt moved", task = t.ref, attempt = t.attempt, worker = w.key.id, detail = cause)
-        state.stop(w, t, now)
+        state.stop(w, t, cause, now)
     }
 
     private fun repeatStops(w: TrackedWorker, now: Long) {
         for (t in w.assigned.values) {
             val sentAt = t.stopSentAt ?: continue
-            if (now - sentAt >= settings.stopRetryMillis) state.stop(w, t, now)
+            if (now - sentAt >= settings.stopRetryMillis) state.stop(w, t, "no end reported", now)
         }
     }
 
