Stop attempts of ended jobs under each new owner until they end

Cause: an owner stopped the attempts of a job at the moment at which the job ended, and repeated the stop by a time that it kept in memory. An owner that recovered the job found its phase final and did nothing; the attempt was assigned, so that the worker's list did not contradict the record either.

Change: each tick stops every assigned attempt whose job has ended, as the record and the lists say, and every attempt that is being moved. A command is sent once for each connection of the agent and repeated after the retry time; one that had no connection is sent at the first tick with one, instead of after the retry time.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
@@ -10,7 +10,7 @@
  * Not thread-safe. Times are in milliseconds of one monotonic clock.
  */
 public class JobShard(private val settings: JobShardSettings = JobShardSettings()) {
-    private val state = ShardState()
+    private val state = ShardState(settings)
     private val jobs = state.jobs
     private val workers = state.workers
     private val unsaved = state.unsaved
@@ -104,7 +104,7 @@
         w.hasReported = false
     }
 
-    /** Releases the tasks of expired leases, repeats stop commands, and moves tasks off slow or draining workers. */
+    /** Releases the tasks of expired leases, stops unwanted attempts, and moves tasks off slow or draining workers. */
     public fun tick(now: Long) {
         for (w in workers.values.toList()) {
             if (now < w.leaseEndsAt) continue
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/ShardState.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ShardState.kt
@@ -1,7 +1,7 @@
 package org.camphorhall.core.jobs
 
 /** In-memory state of a shard, and the state changes that its components share. */
-internal class ShardState {
+internal class ShardState(private val settings: JobShardSettings) {
     val jobs = LinkedHashMap<String, TrackedJob>()
     val workers = LinkedHashMap<WorkerKey, TrackedWorker>()
 
@@ -39,9 +39,14 @@
         }
     }
 
+    /** Stops the attempt of [t], unless a recent command on the current connection to the agent of [w] does so. */
     fun stop(w: TrackedWorker, t: TrackedTask, cause: String, now: Long) {
-        t.stopSentAt = now
-        sendStop(w, t.ref, t.attempt, cause)
+        t.stopCause = cause
+        val session = w.session ?: return
+        val last = t.lastStop
+        if (last != null && last.session == session && now - last.at < settings.stopRetryMillis) return
+        t.lastStop = SentStop(session, now)
+        sendStop(w, t.ref, t.attempt, if (last == null) cause else "$cause; no end reported")
     }
 
     fun sendStop(w: TrackedWorker, task: TaskRef, attempt: Int, cause: String) {
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/Stragglers.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/Stragglers.kt
@@ -25,7 +25,7 @@
         t.lastReportedAt - t.lastProgressAt >=
         STALLED_MILLIS + t.spec.estimateMillis * STALLED_EXPECTED_PERCENT / FULL_PERCENT
 
-    private fun isEligible(t: TrackedTask): Boolean = t.startCommand != null && t.stopSentAt == null &&
+    private fun isEligible(t: TrackedTask): Boolean = t.startCommand != null && t.stopCause == null &&
         !t.spec.longRunning && t.firstReportedAt != null && t.lastReportedAt - t.assignedAt >= MIN_AGE_MILLIS &&
         !t.wasThrottled
 
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TaskMoves.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TaskMoves.kt
@@ -1,6 +1,6 @@
 package org.camphorhall.core.jobs
 
-/** Repeats stop commands without a reported end, and moves throttled tasks and those on slow or draining workers. */
+/** Stops the attempts that are to end, and moves throttled tasks and those on slow or draining workers. */
 internal class TaskMoves(
     private val state: ShardState,
     private val settings: JobShardSettings,
@@ -9,7 +9,7 @@
     /** Checks the tasks of all workers. */
     fun check(now: Long) {
         for (w in state.workers.values) {
-            repeatStops(w, now)
+            stopUnwanted(w, now)
             moveStragglers(w, now)
             moveOffDraining(w, now)
         }
@@ -25,10 +25,15 @@
         state.stop(w, t, cause, now)
     }
 
-    private fun repeatStops(w: TrackedWorker, now: Long) {
+    /**
+     * Stops the attempts of ended jobs, and those that are being moved, until their ends are reported. The phase of a
+     * job is in its record, so that each owner stops what an earlier one has not.
+     */
+    private fun stopUnwanted(w: TrackedWorker, now: Long) {
         for (t in w.assigned.values) {
-            val sentAt = t.stopSentAt ?: continue
-            if (now - sentAt >= settings.stopRetryMillis) state.stop(w, t, "no end reported", now)
+            val phase = state.jobs[t.ref.job]?.phase
+            val cause = if (phase?.isFinal == true) "job ended: $phase" else t.stopCause
+            if (cause != null) state.stop(w, t, cause, now)
         }
     }
 
@@ -40,7 +45,7 @@
         if (!w.profile.draining || !w.hasReported) return
         val availableMillis = (w.profile.remainingMillis ?: 0) - (now - w.lastReportAt) - settings.maxStopMillis
         for (t in w.assigned.values) {
-            if (t.startCommand == null || t.stopSentAt != null) continue
+            if (t.startCommand == null || t.stopCause != null) continue
             val age = now - t.assignedAt
             val neededMillis = if (t.percent == 0) Long.MAX_VALUE else age * (FULL_PERCENT - t.percent) / t.percent
             if (t.spec.longRunning || t.spec.checkpoints && neededMillis > availableMillis) {
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TaskScheduling.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TaskScheduling.kt
@@ -68,7 +68,7 @@
         val healthStateOf = healthStatesOf(usable, now)
         val targets = usable.filter { healthStateOf(it) == WorkerHealthState.Healthy }.toMutableList()
         return workers.flatMap { it.assigned.values }
-            .filter { it.spec.backfill && it.spec.checkpoints && it.stopSentAt == null && it.startCommand != null }
+            .filter { it.spec.backfill && it.spec.checkpoints && it.stopCause == null && it.startCommand != null }
             .filter { it.share < settings.throttledSharePercent && it.percent < NEARLY_DONE_PERCENT }
             .filter { now - it.assignedAt >= settings.moveDelayMillis * (1 + it.moves) }
             .sortedBy { it.share }
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedTask.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedTask.kt
@@ -13,8 +13,11 @@
     /** Id of the start command; null until it is sent. */
     var startCommand: CommandId? = null
 
-    /** Time of the last stop command; null if the attempt is not being stopped. */
-    var stopSentAt: Long? = null
+    /** Why the attempt is being stopped; null if it is not. */
+    var stopCause: String? = null
+
+    /** The last stop command for the attempt; null if this owner has sent none. */
+    var lastStop: SentStop? = null
 
     /** Instances on which the task failed or was slow, or that rejected it. */
     var avoidedInstances: Set<String> = emptySet()
@@ -86,7 +89,8 @@
     fun release() {
         worker = null
         startCommand = null
-        stopSentAt = null
+        stopCause = null
+        lastStop = null
         percent = 0
         firstReportedAt = null
         load = null
@@ -109,3 +113,6 @@
         const val EARLIER_OWNER = -1L
     }
 }
+
+/** A stop command that was sent on connection [session], [at] a time in milliseconds. */
+internal data class SentStop(val session: Long, val at: Long)
