Log what became of each stop, and bound the lines of stops

An agent logged only failed calls, without the worker and the owner.

Change: the agent logs `stop completed`, `stop failed` with the number of the try, and `stop given up` after the last try or when the connection to the owner ends, each with task, attempt, worker and the epoch of the owner, and counts them in `camphorhall_worker_stops_total`. The line `stop sent` of an owner and each kind of line of an agent are limited to 50 a second; the next line has the number left out. Lines of ends have no limit.

--- a/e2e/src/test/kotlin/org/camphorhall/e2e/FailureTrailTest.kt
+++ b/e2e/src/test/kotlin/org/camphorhall/e2e/FailureTrailTest.kt
@@ -66,6 +66,26 @@
         expectThat(next.all { it.epoch() > first.epoch() }).isEqualTo(true)
     }
 
+    /** Guards against a cancelled job whose log does not show which of its tasks were stopped, and by which owner. */
+    @Test
+    fun `the log links a cancelled job to each stop`() = withDeployment { d ->
+        expectThat(d.submit(d.entries[0], REQUEST, runMillis = 30_000)).isEqualTo(SchedulerDeployment.HTTP_OK)
+        awaitCondition("three tasks run") { d.runs().started.count { it.startsWith(REQUEST) } == TASKS }
+        expectThat(d.cancel(d.entries[0], REQUEST)).isEqualTo(SchedulerDeployment.HTTP_OK)
+        val tasks = (0 until TASKS).map { "$REQUEST.0.0.$it" }.toSet()
+        awaitCondition("all tasks have ended") { tasksOf("attempt ended").containsAll(tasks) }
+        val answer = lines().single { it.message == "request answered" && it.text("call") == "Cancel" }
+        expectThat(answer.text("job")).isEqualTo(REQUEST)
+        for (message in listOf("stop sent", "stop completed")) {
+            expectThat(tasksOf(message)).describedAs(message).isEqualTo(tasks)
+            val stops = lines().filter { it.message == message }
+            expectThat(stops.all { it.epoch() > 0 && it.text("worker") != null }).describedAs(message).isEqualTo(true)
+        }
+    }
+
+    private fun tasksOf(message: String): Set<String> = lines().filter { it.message == message }
+        .mapNotNull { it.text("task") }.filter { it.startsWith(REQUEST) }.toSet()
+
     private fun Line.epoch(): Long = text("epoch")?.toLong() ?: 0
 
     private fun withDeployment(test: (SchedulerDeployment) -> Unit) {
@@ -93,5 +113,8 @@
     private companion object {
         const val FIRST = "00000000000000f0"
         const val REQUEST = "00000000000000f1"
+
+        /** Tasks of the first step of a job. */
+        const val TASKS = 3
     }
 }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/OwnerLink.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/OwnerLink.kt
@@ -2,6 +2,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.github.oshai.kotlinlogging.Level
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
@@ -87,7 +88,7 @@
                 }
             }
         } finally {
-            coroutineContext.cancelChildren()
+            coroutineContext.cancelChildren(CancellationException("connection to the owner ended"))
         }
     }
 
@@ -136,7 +137,7 @@
             // No lease after a suspension, which the steady clock may not count; the next response grants one.
             if (reading != null && !reading.mayHaveBeenSuspended()) link.grantLease(at, message.leaseMillis)
         }
-        for (command in message.commands) launch { link.execute(command) }
+        for (command in message.commands) launch { link.execute(command, message.epoch) }
     }
 
     private companion object {
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/SchedulerAgent.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/SchedulerAgent.kt
@@ -3,6 +3,7 @@
 import arrow.core.getOrElse
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.github.oshai.kotlinlogging.Level
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
@@ -69,6 +70,8 @@
     private val metrics = Metrics()
     private val storeCalls =
         metrics.deferredCounter("camphorhall_store_calls", "Calls to the key-value service", "call")
+    private val stops =
+        metrics.deferredCounter("camphorhall_worker_stops", "Stops sent to the worker and failed tries", "outcome")
     private val store: TransactionalStore =
         fleetStore(options.store, STORE_CONNECT_TIMEOUT, STORE_CALL_TIMEOUT, onCall = ::countStoreCall)
 
@@ -125,6 +128,8 @@
 
     private fun countStoreCall(call: StoreCall) = storeCalls.increment(call.name)
 
+    private fun countStop(outcome: StopOutcome) = stops.increment(outcome.name)
+
     override fun onHeartbeat(heartbeat: WorkerHeartbeat): Boolean = synchronized(this) {
         val current = incarnation
         val key = heartbeat.profile.key
@@ -172,7 +177,7 @@
         private val job: Job = scope.launch {
             val token = firstToken()
             val worker = fleetTaskWorker(first.address, key, WORKER_CONNECT_TIMEOUT, WORKER_CALL_TIMEOUT)
-            val workerLink = WorkerLink(profile, worker, token, clock, options.maxLeaseMillis)
+            val workerLink = WorkerLink(profile, worker, token, clock, options.maxLeaseMillis, ::countStop)
             link = workerLink
             workerLink.profile = profile
             try {
@@ -195,7 +200,7 @@
             if (isDrainingChanged) workerLink.updates.trySend(Unit)
         }
 
-        fun end(): Unit = job.cancel()
+        fun end(): Unit = job.cancel(CancellationException("worker restarted"))
     }
 
     /** Derived from a store revision. Revisions only increase, so the token exceeds those of all earlier agents. */
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/WorkerLink.kt
@@ -33,7 +33,7 @@
 /**
  * Connection to one incarnation of the worker: extends its lease, executes commands and tracks its attempts.
  * [firstToken] must be greater than any fencing token that an earlier agent used on the worker. [maxLeaseMillis] is the
- * longest lease that the worker takes.
+ * longest lease that the worker takes. [onStop] gets the outcome of each stop and of each failed try.
  */
 internal class WorkerLink(
     profile: WorkerProfile,
@@ -41,6 +41,7 @@
     firstToken: Long,
     private val clock: Clock,
     maxLeaseMillis: Long = SchedulerAgentOptions.DEFAULT_MAX_LEASE_MILLIS,
+    onStop: (StopOutcome) -> Unit = {},
 ) {
     /** Profile from the latest heartbeat. */
     @Volatile
@@ -79,6 +80,8 @@
 
     private val restartCheck = RestartCheck()
     private val shares = BackfillShares(worker, backfill, lock, clock)
+    private val stops =
+        StopCalls(worker, profile.key, retryDelay, clock, onStop) { lock.withLock { token } }
     private val endStored = Channel<Unit>(Channel.CONFLATED)
 
     /** Extends the lease and polls the lists until cancelled. */
@@ -141,10 +144,11 @@
 
     private suspend fun isConfirmed(): Boolean = lock.withLock { restartCheck.isConfirmed }
 
-    suspend fun execute(command: WorkerCommand) {
+    /** Executes [command] of the owner with [epoch]. */
+    suspend fun execute(command: WorkerCommand, epoch: Long) {
         when (command) {
             is WorkerCommand.Start -> start(command)
-            is WorkerCommand.Stop -> stop(command)
+            is WorkerCommand.Stop -> stops.execute(command, epoch)
         }
         lock.withLock { commands.recordCompleted(command.number) }
         // The lists read after the stop report its result to the owner.
@@ -345,20 +349,6 @@
         updates.trySend(Unit)
     }
 
-    private suspend fun stop(command: WorkerCommand.Stop) {
-        repeat(MAX_STOP_TRIES) {
-            val error = worker.stop(command.task, command.attempt, lock.withLock { token }).leftOrNull() ?: return
-            logger.event(
-                Level.WARN,
-                "stop failed",
-                "task" to command.task,
-                "attempt" to command.attempt,
-                "reason" to error,
-            )
-            delay(retryDelay.current)
-        }
-    }
-
     private companion object {
 
         /** Long-poll time: the worker responds after it if no attempt ends. Each poll also extends the lease. */
@@ -373,9 +363,6 @@
         /** Silence after which the worker is unreachable: a poll waits 0.8 s and times out 0.8 s later. */
         const val UNREACHABLE_MILLIS = 1_700L
 
-        /** Tries per stop command; the owner repeats the command. */
-        const val MAX_STOP_TRIES = 3
-
         /** Token increment after a fenced call; exceeds the increments by concurrent starts. */
         const val TOKEN_STEP = 16L
     }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
@@ -43,6 +43,7 @@
     private val epoch = ownership.epoch
     private var healthPaths = emptyMap<String, String>()
     private var isWriting = false
+    private val log = ShardLog(epoch, clock)
 
     @Volatile
     private var isClosed = false
@@ -285,7 +286,7 @@
             when (output) {
                 is ShardOutput.Send -> commands.getOrPut(output.session) { mutableListOf() } += output.command
                 is ShardOutput.AcknowledgeEnds -> ends[output.session] = output.number
-                is ShardOutput.LogEvent -> log(output)
+                is ShardOutput.LogEvent -> log.write(output)
             }
         }
         for (id in commands.keys + ends.keys) {
@@ -302,20 +303,6 @@
         }
     }
 
-    private fun log(e: ShardOutput.LogEvent) {
-        logger.event(
-            Level.INFO,
-            e.event,
-            "job" to e.job,
-            "task" to e.task,
-            "attempt" to e.attempt,
-            "worker" to e.worker,
-            "detail" to e.detail,
-            "ranMillis" to e.ranMillis,
-            "epoch" to epoch,
-        )
-    }
-
     private companion object {
         /** Longer than the timeout of any sender. A request without a response by then was sent to an ended loop. */
         val RESPONSE_TIMEOUT = 2_000.milliseconds
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/LinkFixtures.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/LinkFixtures.kt
@@ -23,7 +23,7 @@
 
 /** A link to [worker] on the virtual clock of the test. */
 @OptIn(ExperimentalCoroutinesApi::class)
-internal fun TestScope.workerLink(worker: ScriptedWorker) = WorkerLink(
+internal fun TestScope.workerLink(worker: ScriptedWorker, onStop: (StopOutcome) -> Unit = {}) = WorkerLink(
     LINK_PROFILE,
     worker,
     firstToken = 100,
@@ -32,6 +32,7 @@
 
         override fun wall(): Long = currentTime + 1
     },
+    onStop = onStop,
 )
 
 /** A link that has read the worker's clock and has a lease. */
@@ -52,4 +53,7 @@
 
 internal fun ScriptedWorker.Poll.respond(lists: WorkerAttempts) = response.complete(Either.Right(lists))
 
+/** Executes [command] of the first owner. */
+internal suspend fun WorkerLink.execute(command: WorkerCommand): Unit = execute(command, epoch = 1)
+
 internal fun startCommand(number: Long) = WorkerCommand.Start(number, LINK_TASK, 1, "payload", "", TaskProfile())
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/ScriptedWorker.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/ScriptedWorker.kt
@@ -28,12 +28,14 @@
     val polls = Channel<Poll>(Channel.UNLIMITED)
     val starts = Channel<Start>(Channel.UNLIMITED)
     val healthResponses = Channel<Either<WorkerError, Boolean>>(Channel.UNLIMITED)
+
+    /** Responds to stops; the test may replace it. */
+    var onStop: suspend () -> Either<WorkerError, WorkerTime> = { WorkerTime(0).right() }
     val shares = mutableListOf<Pair<TaskRef, Int>>()
 
     override suspend fun start(call: StartRequest): StartResult = Start(call).also { starts.send(it) }.response.await()
 
-    override suspend fun stop(task: TaskRef, attempt: Int, token: Long): Either<WorkerError, WorkerTime> =
-        WorkerTime(0).right()
+    override suspend fun stop(task: TaskRef, attempt: Int, token: Long): Either<WorkerError, WorkerTime> = onStop()
 
     override suspend fun poll(
         token: Long,
