Log how many ended jobs have attempts when a shard is loaded

Change: the line `shard loaded` has `endedJobsWithAttempts`. A progress record names only the workers to which attempts are assigned.

--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
@@ -80,7 +80,14 @@
         val now = clock.steady()
         val leasesEndAt = now + graceMillis + settings.leaseMillis + settings.leaseSlackMillis
         shard.recover(loaded.jobs, leasesEndAt, now)
-        logger.event(Level.INFO, "shard loaded", "epoch" to epoch, "jobs" to loaded.jobs.size, "grace" to graceMillis)
+        logger.event(
+            Level.INFO,
+            "shard loaded",
+            "epoch" to epoch,
+            "jobs" to loaded.jobs.size,
+            "endedJobsWithAttempts" to loaded.endedJobsWithAttempts,
+            "grace" to graceMillis,
+        )
         tickedAt = clock.steady()
         launch { watchInbox(loaded.revision) }
         launch { sendTicks() }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardStore.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardStore.kt
@@ -30,6 +30,10 @@
     class Snapshot(val jobs: List<StoredJob>, val revision: Long) {
         /** Jobs to accept. A finished one may expire meanwhile, and would run again if it were accepted then. */
         val unfinishedJobs: List<StoredJob> get() = jobs.filterNot { it.progress?.phase?.isFinal ?: false }
+
+        /** Number of jobs that have ended while attempts of them may run; the new owner stops these. */
+        val endedJobsWithAttempts: Int
+            get() = jobs.count { j -> j.progress?.let { it.phase.isFinal && it.workers.isNotEmpty() } ?: false }
     }
 
     /** Reads all jobs with their progress. */
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/ShardStoreTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/ShardStoreTest.kt
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
 
 internal class ShardStoreTest {
     private val keys = ShardKeys(0)
@@ -44,4 +45,22 @@
         val listed = checkNotNull(records.load().getOrNull())
         expectThat(listed.unfinishedJobs.map { it.record.id }).containsExactly("a", "b")
     }
+
+    /** Guards against a shard whose record does not show that an earlier owner left attempts of ended jobs running. */
+    @Test
+    fun `ended jobs with assigned attempts are counted`(): Unit = runBlocking {
+        val progress = mapOf(
+            "a" to null,
+            "b" to ProgressRecord(JobPhase.Running, listOf("w"), listOf("0,0,0,1,0,0,0,")),
+            "c" to ProgressRecord(JobPhase.Cancelled, listOf("w"), listOf("0,0,0,1,0,0,0,")),
+            "d" to ProgressRecord(JobPhase.Cancelled, emptyList(), listOf("0,0,0,1,0,0,-1,")),
+            "e" to ProgressRecord(JobPhase.Failed, listOf("w", "v"), listOf("0,0,0,1,0,0,0,", "0,0,1,1,0,0,1,")),
+            "f" to ProgressRecord(JobPhase.Completed),
+        )
+        for ((id, record) in progress) {
+            put(keys.job(id), JobRecord.serializer(), job(id))
+            if (record != null) put(keys.progress(id), ProgressRecord.serializer(), record)
+        }
+        expectThat(checkNotNull(records.load().getOrNull()).endedJobsWithAttempts).isEqualTo(2)
+    }
 }
