Delete the records of finished jobs beside the loop of their owner

What callers would see: the tasks of all workers of a shard are started again although nothing happened to them. The loop of an owner made no decision and granted no lease while the store did not answer a deletion.

That leases lapse by it was not run.

Change: deletions run one after the other in a coroutine of the owner, beside its loop and its writes.

--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
@@ -38,6 +38,9 @@
     private val shard = JobShard(settings)
     private val events = Channel<OwnerEvent>(Channel.UNLIMITED)
 
+    /** Finished jobs whose records are to be deleted. */
+    private val expiredJobs = Channel<List<String>>(Channel.UNLIMITED)
+
     /** Connections of agents. Also read by [close], which runs concurrently with the loop. */
     private val sessions = ConcurrentHashMap<Long, AgentSession>()
     private val epoch = ownership.epoch
@@ -84,6 +87,7 @@
         launch { watchInbox(loaded.revision) }
         launch { sendTicks() }
         launch { requestSummaries() }
+        launch { deleteExpired() }
         while (!isClosed) {
             handle(events.receive())
             var next = events.tryReceive().getOrNull()
@@ -166,6 +170,11 @@
         }
     }
 
+    /** Deletes records beside the loop, which must not wait for the store. */
+    private suspend fun deleteExpired() {
+        for (jobs in expiredJobs) records.delete(jobs, ownership.epochRevision)
+    }
+
     private fun logSummary(s: ShardSummary) {
         logger.event(
             Level.INFO,
@@ -185,7 +194,7 @@
         )
     }
 
-    private suspend fun handle(e: OwnerEvent) {
+    private fun handle(e: OwnerEvent) {
         val now = clock.steady()
         when (e) {
             is OwnerEvent.Reported -> handleReport(e, now)
@@ -208,7 +217,7 @@
                 tickedAt = now
                 shard.tick(now)
                 val expired = shard.expire(now)
-                if (expired.isNotEmpty()) records.delete(expired, ownership.epochRevision)
+                if (expired.isNotEmpty()) expiredJobs.trySend(expired)
             }
         }
     }
--- /dev/null
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/RecordDeletionTest.kt
@@ -0,0 +1,99 @@
+package org.camphorhall.scheduler.owner
+
+import arrow.core.Either
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.camphorhall.core.jobs.JobClass
+import org.camphorhall.core.jobs.JobPhase
+import org.camphorhall.core.jobs.JobRecord
+import org.camphorhall.core.jobs.JobShardSettings
+import org.camphorhall.core.jobs.JobSpec
+import org.camphorhall.core.jobs.ProgressRecord
+import org.camphorhall.core.jobs.StepSpec
+import org.camphorhall.core.model.Resources
+import org.camphorhall.platform.store.StoreError
+import org.camphorhall.platform.store.StoreTransaction
+import org.camphorhall.platform.store.TransactionalStore
+import org.camphorhall.scheduler.protocol.OwnerRequest
+import org.camphorhall.scheduler.protocol.OwnerResponse
+import org.camphorhall.scheduler.protocol.documentJson
+import org.camphorhall.scheduler.support.ShardKeys
+import org.camphorhall.scheduler.support.SystemClock
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEmpty
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+internal class RecordDeletionTest {
+    /** Does not answer deletions until [answer] completes. */
+    private class SlowDeletions(
+        private val store: TransactionalStore,
+        val begun: CompletableDeferred<Unit> = CompletableDeferred(),
+        val answer: CompletableDeferred<Unit> = CompletableDeferred(),
+    ) : TransactionalStore by store {
+        override suspend fun commit(transaction: StoreTransaction): Either<StoreError, Long> {
+            if (transaction.deletes.isNotEmpty()) {
+                begun.complete(Unit)
+                answer.await()
+            }
+            return store.commit(transaction)
+        }
+    }
+
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val keys = ShardKeys(0)
+    private val store = SlowDeletions(InMemoryTransactionalStore())
+
+    @AfterEach
+    fun close() = scope.cancel()
+
+    /**
+     * Guards against workers whose leases lapse because their owner waits for the store to delete finished jobs. All
+     * jobs that a new owner loads as finished expire at the same moment.
+     */
+    @Test
+    fun `an owner works on while the store does not answer its deletions`(): Unit = runBlocking {
+        storeFinishedJobs(count = 25)
+        val ownership = Ownership(store, keys, "owner", "127.0.0.1:1", SystemClock).also { it.tryAcquire() }
+        val settings = JobShardSettings(retentionMillis = 0)
+        val shard = ShardOwner(ownership, ShardStore(store, keys), settings, SystemClock)
+        scope.launch { shard.run(graceMillis = 0) }
+        withTimeout(TIMEOUT) { store.begun.await() }
+        expectThat(shard.handleRequest(OwnerRequest.CountPending("class"))).isA<OwnerResponse.PendingCount>()
+        store.answer.complete(Unit)
+        val prefixes = listOf(keys.inboxPrefix, keys.progressPrefix)
+        withTimeout(TIMEOUT) { while (prefixes.any { listed(it).isNotEmpty() }) delay(POLL_INTERVAL) }
+        expectThat(prefixes.flatMap { listed(it) }).isEmpty()
+    }
+
+    private suspend fun listed(prefix: String): List<String> =
+        checkNotNull(store.list(prefix).getOrNull()).items.map { it.key }
+
+    private suspend fun storeFinishedJobs(count: Int) = repeat(count) { n ->
+        val job = JobRecord(
+            "%016x".format(n),
+            JobSpec("payload", listOf(StepSpec(1, Resources(1_000, 100)))),
+            JobClass("class", "service", 0, maxAttempts = 2, 1.5, 250, 3_000),
+            acceptedAtMillis = 0,
+        )
+        val progress = documentJson.encodeToString(ProgressRecord.serializer(), ProgressRecord(JobPhase.Completed))
+        val record = documentJson.encodeToString(JobRecord.serializer(), job)
+        store.put(keys.job(job.id), record.encodeToByteArray(), 0)
+        store.put(keys.progress(job.id), progress.encodeToByteArray(), 0)
+    }
+
+    private companion object {
+        val TIMEOUT = 10.seconds
+        val POLL_INTERVAL = 20.milliseconds
+    }
+}
