Keep cancellations that reach the owner before their job

What callers would see: a task of a cancelled job starts after the cancelling was acknowledged, and is stopped when the owner's watch shows the cancellation again.

Cause: entries notify the owner of a job and of its cancellation on different connections. The owner ignored a cancellation of a job that it did not know, and accepted the job when its slower notice arrived.

How long the watch leaves such a task running was not measured.

Change: the owner keeps such a cancellation for the retention time of jobs and applies it when it accepts the job. A new owner needs none of this, since it loads jobs and cancellations together.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
@@ -14,6 +14,9 @@
     private val jobs = state.jobs
     private val workers = state.workers
     private val unsaved = state.unsaved
+
+    /** Arrival times of cancellations, by the ids of jobs whose own notices may be slower. */
+    private val earlyCancellations = HashMap<String, Long>()
     private val scheduling = TaskScheduling(settings, BackfillForecast(state.interference))
     private val reports = ReportHandling(state, settings)
     private val moves = TaskMoves(state, settings, scheduling)
@@ -53,11 +56,16 @@
     public fun accept(record: JobRecord, now: Long) {
         if (record.id in jobs) return
         jobs[record.id] = TrackedJob(record, now)
+        if (earlyCancellations.remove(record.id) != null) cancel(record.id, now)
     }
 
-    /** Cancels a job. Returns false if there is no such job. */
+    /** Cancels a job, or does so once it is accepted if there is no such job yet. Returns whether there is. */
     public fun cancel(id: String, now: Long): Boolean {
-        val job = jobs[id] ?: return false
+        val job = jobs[id]
+        if (job == null) {
+            earlyCancellations[id] = now
+            return false
+        }
         if (!job.phase.isFinal) state.finish(job, JobPhase.Cancelled, now)
         return true
     }
@@ -163,6 +171,7 @@
 
     /** Removes the final jobs whose retention time has passed, and returns their ids. */
     public fun expire(now: Long): List<String> {
+        earlyCancellations.values.removeIf { it + settings.retentionMillis < now }
         val expired = jobs.values.filter { it.phase.isFinal && it.endedAt + settings.retentionMillis < now }
             .filter { job -> job.allTasks.all { it.worker == null } && job.record.id !in unsaved }
             .map { it.record.id }
