Set the share of each backfill attempt that an earlier agent has left

What callers saw: none reported it. A backfill task that an earlier process of the agent had throttled stayed throttled to its end, perhaps at 0 %, if the next process wanted 100 %.

Cause: BackfillThrottle took each share that it had not set for 100, so that a target of 100 sent nothing.

Evidence: the test `a new agent sets the share of an attempt that it has not started` of BackfillSharesTest failed on: no call instead of one with 100.

Change: the share is 100 only for attempts that this process has started; any other is set at the first decision. The tests of BackfillThrottle and the replay say which attempts their process has started.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/BackfillThrottle.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/BackfillThrottle.kt
@@ -12,7 +12,12 @@
 public class BackfillThrottle {
     /** Number of consecutive samples in which each serving task missed its latency target. */
     private val missedSamples = HashMap<TaskRef, Int>()
+
+    /** Shares that the worker has applied, by task and attempt. */
     private val shares = HashMap<Pair<TaskRef, Int>, Int>()
+
+    /** Attempts that this process has started, which run at 100 % until a share is applied. */
+    private val started = HashSet<Pair<TaskRef, Int>>()
     private var lastSampleAt: Long? = null
     private var lastMissAt: Long? = null
 
@@ -43,7 +48,9 @@
         val serving = inputs.running.filter { it.percent == FULL && it.load > 0 }.mapNotNull { row ->
             inputs.profiles[row.task]?.takeIf { it.latencyTargetMillis != null }?.let { row to it }
         }
-        shares.keys.retainAll(backfill.mapTo(HashSet()) { it.task to it.attempt })
+        val tracked = backfill.mapTo(HashSet()) { it.task to it.attempt }
+        shares.keys.retainAll(tracked)
+        started.retainAll(tracked)
         missedSamples.keys.retainAll(serving.mapTo(HashSet()) { it.first.task })
         val isNewSample = lastSampleAt?.let { now - it >= SAMPLE_MILLIS } ?: true
         if (isNewSample) {
@@ -61,6 +68,11 @@
         return targets.mapNotNull { (row, share) -> change(row, share, maxIncrease, isNewSample) }
     }
 
+    /** Records that this process has started an attempt. The share of any other attempt is unknown until applied. */
+    public fun recordStarted(task: TaskRef, attempt: Int) {
+        started += task to attempt
+    }
+
     /** Records that the worker has applied [share]. */
     public fun recordApplied(share: Share) {
         shares[share.task to share.attempt] = share.percent
@@ -135,11 +147,14 @@
 
     /** Sets the share of a new task at once and changes others once per sample; increases are limited per sample. */
     private fun change(row: RunningAttempt, target: Int, maxIncrease: Int, isNewSample: Boolean): Share? {
-        val current = shares[row.task to row.attempt]
-        val next = if (current == null) target else target.coerceAtMost(current + maxIncrease)
-        val isDue = current == null || isNewSample
-        val difference = next - (current ?: FULL)
-        val isSignificant = difference < 0 || difference >= MIN_INCREASE || difference > 0 && next == FULL
+        val key = row.task to row.attempt
+        val applied = shares[key]
+        val next = if (applied == null) target else target.coerceAtMost(applied + maxIncrease)
+        val isDue = applied == null || isNewSample
+        val isUnknown = applied == null && key !in started
+        val difference = next - (applied ?: FULL)
+        val isSignificant =
+            isUnknown || difference < 0 || difference >= MIN_INCREASE || difference > 0 && next == FULL
         return if (isDue && isSignificant) Share(row.task, row.attempt, next) else null
     }
 
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/BackfillThrottleTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/BackfillThrottleTest.kt
@@ -2,6 +2,8 @@
 
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
@@ -15,6 +17,9 @@
         backfill to TaskProfile(backfill = true, cpuMillis = 1_000, image = "strong"),
     )
 
+    /** A throttle of the process that has started the first attempt of [backfill]. */
+    private fun throttle() = BackfillThrottle().also { it.recordStarted(backfill, 1) }
+
     private fun decide(
         throttle: BackfillThrottle,
         rows: List<RunningAttempt>,
@@ -40,13 +45,13 @@
 
     @Test
     fun `the share decreases within three seconds until the target is met`() {
-        val throttle = BackfillThrottle()
+        val throttle = throttle()
         expectThat(simulate(throttle, seconds = 3) { share -> 10L + share * 2 }).isLessThan(20)
     }
 
     @Test
     fun `the share recovers once the latency is below the target`() {
-        val throttle = BackfillThrottle()
+        val throttle = throttle()
         val low = simulate(throttle, seconds = 3) { 200 }
         expectThat(simulate(throttle, seconds = 6, from = 3_000) { 10 }).isGreaterThan(low)
         expectThat(simulate(throttle, seconds = 10, from = 9_000) { 10 }).isEqualTo(100)
@@ -54,9 +59,10 @@
 
     @Test
     fun `a new backfill task gets its share at once`() {
-        val throttle = BackfillThrottle()
+        val throttle = throttle()
         simulate(throttle, seconds = 2) { 200 }
         val second = TaskRef("c", 0, 0, 0)
+        throttle.recordStarted(second, 1)
         val rows = listOf(RunningAttempt(serving, 1, percent = 100, load = 200), RunningAttempt(second, 1))
         val known = profiles + (second to TaskProfile(backfill = true, cpuMillis = 1_000, image = "strong"))
         expectThat(decide(throttle, rows, 1_600, known).single()).isEqualTo(BackfillThrottle.Share(second, 1, 0))
@@ -65,8 +71,9 @@
     /** Guards against throttling images without interference instead of those with interference. */
     @Test
     fun `the task with the strongest interference is throttled first`() {
-        val throttle = BackfillThrottle()
+        val throttle = throttle()
         val weak = TaskRef("c", 0, 0, 0)
+        throttle.recordStarted(weak, 1)
         val known = profiles + (weak to TaskProfile(backfill = true, cpuMillis = 3_000, image = "weak"))
         val rows = listOf(
             RunningAttempt(serving, 1, percent = 100, load = 60),
@@ -79,4 +86,12 @@
         expectThat(throttle.shareOf(weak, 1)).isEqualTo(100)
         expectThat(throttle.shareOf(backfill, 1)).isLessThan(100)
     }
+
+    /** Guards against a share of an earlier process that outlives it, and against calls that change nothing. */
+    @Test
+    fun `only an unknown share is set to 100`() {
+        val rows = listOf(RunningAttempt(backfill, 1))
+        expectThat(decide(BackfillThrottle(), rows, 0)).containsExactly(BackfillThrottle.Share(backfill, 1, 100))
+        expectThat(decide(throttle(), rows, 0)).isEmpty()
+    }
 }
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/replay/ReplayWorker.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/replay/ReplayWorker.kt
@@ -54,6 +54,7 @@
         lastCompletedCommand = maxOf(lastCompletedCommand, command.number)
         val saved = command.checkpoint.toDoubleOrNull() ?: 0.0
         runs[command.task] = Run(command, saved, now + if (saved > 0) RESTORE_MILLIS else 0)
+        throttle.recordStarted(command.task, command.attempt)
         hasUnreportedChange = true
         updateShares(now)
     }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/BackfillController.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/BackfillController.kt
@@ -40,6 +40,7 @@
     /** Records that the response to the start request of [command] arrived at [now]. */
     fun recordStartResponse(command: WorkerCommand.Start, now: Long) {
         started[command.task] = Started(command.attempt, now)
+        throttle.recordStarted(command.task, command.attempt)
     }
 
     /**
--- /dev/null
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/BackfillSharesTest.kt
@@ -0,0 +1,80 @@
+package org.camphorhall.scheduler.agent
+
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.advanceTimeBy
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runCurrent
+import kotlinx.coroutines.test.runTest
+import org.camphorhall.core.jobs.RunningAttempt
+import org.camphorhall.core.jobs.TaskProfile
+import org.camphorhall.platform.worker.StartResult
+import org.camphorhall.platform.worker.WorkerAttempts
+import org.camphorhall.platform.worker.WorkerTime
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+
+/** Tests the shares that an agent sets when it does not know what the worker has applied. */
+@OptIn(ExperimentalCoroutinesApi::class)
+internal class BackfillSharesTest {
+    private val worker = ScriptedWorker()
+    private val serving = LINK_TASK
+    private val backfill = LINK_TASK.copy(index = 1)
+    private val profiles = mapOf(
+        serving to TaskProfile(latencyTargetMillis = 50, image = "serving"),
+        backfill to TaskProfile(backfill = true, cpuMillis = 500, image = "backfill"),
+    )
+
+    /** Guards against a task that stays throttled to its end after the agent that throttled it was replaced. */
+    @Test
+    fun `a new agent sets the share of an attempt that it has not started`() = runTest {
+        val link = takeOver()
+        respondWith(link, latency = 5)
+        expectThat(worker.shares).containsExactly(backfill to 100)
+        respondWith(link, latency = 5)
+        expectThat(worker.shares).hasSize(1)
+    }
+
+    /** Guards against a call for each backfill task that starts beside no serving task. */
+    @Test
+    fun `an attempt that the agent has started is unthrottled without a call`() = runTest {
+        val link = linkWithLease(worker)
+        val start = startCommand(1).copy(task = backfill, profile = TaskProfile(backfill = true, cpuMillis = 500))
+        val command = launch { link.execute(start) }
+        runCurrent()
+        worker.starts.receive().response.complete(StartResult.Started)
+        command.join()
+        respondWith(link, latency = null)
+        expectThat(worker.shares).isEmpty()
+    }
+
+    /** A new agent that has the profiles of the tasks from the owner. */
+    private suspend fun TestScope.takeOver(): WorkerLink = linkWithLease(worker).also { it.addProfiles(profiles) }
+
+    /** Lets the agent read one list, with the [latency] of the serving task or without it, and adjust the shares. */
+    private suspend fun TestScope.respondWith(link: WorkerLink, latency: Long?) {
+        val run = launchRun(link)
+        respond(latency)
+        run.cancel()
+        run.join()
+        while (worker.polls.tryReceive().isSuccess) Unit
+    }
+
+    private fun TestScope.launchRun(link: WorkerLink): Job = launch { link.run() }
+
+    private suspend fun TestScope.respond(latency: Long?) {
+        advanceTimeBy(500)
+        runCurrent()
+        val rows = listOfNotNull(
+            latency?.let { RunningAttempt(serving, 1, percent = 100, load = it) },
+            RunningAttempt(backfill, 1, load = 10),
+        )
+        worker.polls.receive().respond(WorkerAttempts(WorkerTime(2_000 + currentTime), rows, emptyList()))
+        runCurrent()
+    }
+}
