Set a share again after a call that got no response

What callers would see: a backfill task stays throttled, or runs at full speed beside a serving task, because a call that set its share got no response and was carried out, at once or after newer calls.

Cause: a failed call left the earlier share recorded, so that the next target seemed to be set already.

Evidence: in BackfillSharesTest, three tests failed on and on: after a call without a response, and after one that was cancelled, the last share set was 0 instead of 100 in 20 lists with room for it; a lost call was never set again.

Change: after a call without a response the share is set again until a call succeeds, and then every 2 s for 15 s, while the lost call may still arrive. A cancelled call counts as one without a response. The fencing token is not raised, since that would refuse starts and stops that are under way. Increases go on from the lower of the two shares.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/BackfillThrottle.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/BackfillThrottle.kt
@@ -18,6 +18,9 @@
 
     /** Attempts that this process has started, which run at 100 % until a share is applied. */
     private val started = HashSet<Pair<TaskRef, Int>>()
+
+    /** Calls without a response; the worker may still carry them out, after newer calls. */
+    private val lostCalls = HashMap<Pair<TaskRef, Int>, LostCall>()
     private var lastSampleAt: Long? = null
     private var lastMissAt: Long? = null
 
@@ -29,6 +32,12 @@
     public var minHeadroom: Double? = null
         private set
 
+    /** A call without a response, which may be carried out until [until]. The last one was made at [repeatedAt]. */
+    private class LostCall(val until: Long, var repeatedAt: Long) {
+        /** Whether the worker has applied a share since. */
+        var isReplaced = false
+    }
+
     /** The CPU share to set for an attempt, in percent; 100 is unthrottled. */
     public data class Share(val task: TaskRef, val attempt: Int, val percent: Int)
 
@@ -51,6 +60,8 @@
         val tracked = backfill.mapTo(HashSet()) { it.task to it.attempt }
         shares.keys.retainAll(tracked)
         started.retainAll(tracked)
+        lostCalls.keys.retainAll(tracked)
+        lostCalls.values.removeIf { it.isReplaced && now >= it.until }
         missedSamples.keys.retainAll(serving.mapTo(HashSet()) { it.first.task })
         val isNewSample = lastSampleAt?.let { now - it >= SAMPLE_MILLIS } ?: true
         if (isNewSample) {
@@ -65,7 +76,8 @@
         meanSharePercent = if (targets.isEmpty()) FULL else targets.values.sum() / targets.size
         val isCautious = lastMissAt?.let { now - it < CAUTIOUS_MILLIS } ?: false
         val maxIncrease = if (isCautious) CAUTIOUS_MAX_INCREASE else MAX_INCREASE
-        return targets.mapNotNull { (row, share) -> change(row, share, maxIncrease, isNewSample) }
+        return targets.mapNotNull { (row, share) -> change(row, share, maxIncrease, isNewSample, now) }
+            .onEach { lostCalls[it.task to it.attempt]?.repeatedAt = now }
     }
 
     /** Records that this process has started an attempt. The share of any other attempt is unknown until applied. */
@@ -76,6 +88,18 @@
     /** Records that the worker has applied [share]. */
     public fun recordApplied(share: Share) {
         shares[share.task to share.attempt] = share.percent
+        lostCalls[share.task to share.attempt]?.isReplaced = true
+    }
+
+    /**
+     * Records at [now] that the call to set [share] got no response. The share is set again until a call succeeds, and
+     * then every [REPEAT_MILLIS] for as long as the lost call may be carried out late and undo it.
+     */
+    public fun recordLost(share: Share, now: Long) {
+        val key = share.task to share.attempt
+        // The lower share bounds the next increase.
+        shares.merge(key, share.percent, ::minOf)
+        lostCalls[key] = LostCall(now + LATE_CALL_MILLIS, now)
     }
 
     /** The applied share of an attempt in percent; 100 if none was set. */
@@ -146,12 +170,19 @@
     }
 
     /** Sets the share of a new task at once and changes others once per sample; increases are limited per sample. */
-    private fun change(row: RunningAttempt, target: Int, maxIncrease: Int, isNewSample: Boolean): Share? {
+    private fun change(
+        row: RunningAttempt,
+        target: Int,
+        maxIncrease: Int,
+        isNewSample: Boolean,
+        now: Long,
+    ): Share? {
         val key = row.task to row.attempt
         val applied = shares[key]
         val next = if (applied == null) target else target.coerceAtMost(applied + maxIncrease)
         val isDue = applied == null || isNewSample
-        val isUnknown = applied == null && key !in started
+        val isUnknown = applied == null && key !in started ||
+            lostCalls[key]?.let { !it.isReplaced || now - it.repeatedAt >= REPEAT_MILLIS } ?: false
         val difference = next - (applied ?: FULL)
         val isSignificant =
             isUnknown || difference < 0 || difference >= MIN_INCREASE || difference > 0 && next == FULL
@@ -177,6 +208,12 @@
         /** A smaller increase, in percent, is not worth a call to the worker. */
         const val MIN_INCREASE = 5
 
+        /** Longest time for which a call without a response is expected to be carried out, in milliseconds. */
+        const val LATE_CALL_MILLIS = 15_000L
+
+        /** Period in which a share is set again, in milliseconds; a late call undoes it for no longer. */
+        const val REPEAT_MILLIS = 2_000L
+
         /** Number of consecutive missed samples after which the learned weights are no longer relied on. */
         const val MAX_MISSED_SAMPLES = 2
 
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/BackfillController.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/BackfillController.kt
@@ -73,6 +73,9 @@
     /** Records that the worker applied [share]. */
     fun recordApplied(share: BackfillThrottle.Share): Unit = throttle.recordApplied(share)
 
+    /** Records that the call to set [share] got no response until [now]. */
+    fun recordLost(share: BackfillThrottle.Share, now: Long): Unit = throttle.recordLost(share, now)
+
     /** Adds the current shares to the backfill tasks of [running]. */
     fun withShares(running: List<RunningAttempt>): List<RunningAttempt> = running.map { row ->
         if (profiles[row.task]?.backfill == true) row.copy(share = throttle.shareOf(row.task, row.attempt)) else row
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/BackfillShares.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/BackfillShares.kt
@@ -2,10 +2,14 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.github.oshai.kotlinlogging.Level
+import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withContext
+import org.camphorhall.core.jobs.BackfillThrottle
 import org.camphorhall.core.jobs.WorkerProfile
 import org.camphorhall.platform.worker.TaskWorker
+import org.camphorhall.platform.worker.WorkerError
 import org.camphorhall.process.event
 import org.camphorhall.scheduler.support.Clock
 
@@ -56,10 +60,33 @@
                 "tasks" to shares.size,
             )
         }
-        for (s in shares) {
-            worker.throttle(s.task, s.attempt, s.percent, token).fold(
-                { logger.event(Level.INFO, "share not set", "task" to s.task, "percent" to s.percent, "reason" to it) },
-                { lock.withLock { backfill.recordApplied(s) } },
+        shares.forEach { set(it, token) }
+    }
+
+    /** A call without a response, also one that is cancelled, may have been carried out or may still be. */
+    private suspend fun set(share: BackfillThrottle.Share, token: Long) {
+        var error: WorkerError? = WorkerError.Unknown("cancelled")
+        try {
+            error = worker.throttle(share.task, share.attempt, share.percent, token).leftOrNull()
+        } finally {
+            withContext(NonCancellable) { lock.withLock { recordResult(share, error) } }
+        }
+    }
+
+    private fun recordResult(share: BackfillThrottle.Share, error: WorkerError?) {
+        when (error) {
+            null -> backfill.recordApplied(share)
+            is WorkerError.Unknown -> backfill.recordLost(share, clock.steady())
+            // The worker did nothing.
+            else -> Unit
+        }
+        if (error != null) {
+            logger.event(
+                Level.INFO,
+                "share not set",
+                "task" to share.task,
+                "percent" to share.percent,
+                "reason" to error,
             )
         }
     }
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/BackfillSharesTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/BackfillSharesTest.kt
@@ -12,12 +12,19 @@
 import org.camphorhall.core.jobs.TaskProfile
 import org.camphorhall.platform.worker.StartResult
 import org.camphorhall.platform.worker.WorkerAttempts
+import org.camphorhall.platform.worker.WorkerError
 import org.camphorhall.platform.worker.WorkerTime
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
+import strikt.assertions.all
 import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
 
 /** Tests the shares that an agent sets when it does not know what the worker has applied. */
 @OptIn(ExperimentalCoroutinesApi::class)
@@ -53,6 +60,53 @@
         expectThat(worker.shares).isEmpty()
     }
 
+    /** Guards against a task that stays throttled because the call that throttled it got no response. */
+    @ParameterizedTest
+    @ValueSource(booleans = [true, false])
+    fun `a share is set again after a call without a response`(isInherited: Boolean) = runTest {
+        val link = takeOver()
+        if (!isInherited) respondWith(link, latency = 5)
+        worker.shares.clear()
+        worker.shareErrors += WorkerError.Unknown("timeout")
+        respondWith(link, latency = 200)
+        expectThat(worker.shares.single().second).isLessThan(100)
+        repeat(20) { respondWith(link, latency = 5) }
+        expectThat(worker.shares.last().second).isEqualTo(100)
+    }
+
+    /** Guards against an older call that lowers the share after a newer one has raised it. */
+    @Test
+    fun `a share is repeated while a call without a response may be carried out`() = runTest {
+        val link = takeOver()
+        worker.shareErrors += WorkerError.Unknown("timeout")
+        respondWith(link, latency = 5)
+        worker.shares.clear()
+        repeat(20) { respondWith(link, latency = 5) }
+        expectThat(worker.shares.size).isGreaterThan(3)
+        expectThat(worker.shares).all { isEqualTo(backfill to 100) }
+        repeat(20) { respondWith(link, latency = 5) }
+        worker.shares.clear()
+        repeat(20) { respondWith(link, latency = 5) }
+        expectThat(worker.shares).isEmpty()
+    }
+
+    /** Guards against a share that a cancelled call has set and that the agent takes for the one before. */
+    @Test
+    fun `a cancelled call counts as one without a response`() = runTest {
+        val link = takeOver()
+        respondWith(link, latency = 5)
+        worker.shares.clear()
+        worker.isShareHeld = true
+        val run = launchRun(link)
+        respond(latency = 200)
+        run.cancel()
+        run.join()
+        expectThat(worker.shares).hasSize(1)
+        worker.isShareHeld = false
+        repeat(20) { respondWith(link, latency = 5) }
+        expectThat(worker.shares.last().second).isEqualTo(100)
+    }
+
     /** A new agent that has the profiles of the tasks from the owner. */
     private suspend fun TestScope.takeOver(): WorkerLink = linkWithLease(worker).also { it.addProfiles(profiles) }
 
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/ScriptedWorker.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/ScriptedWorker.kt
@@ -1,8 +1,10 @@
 package org.camphorhall.scheduler.agent
 
 import arrow.core.Either
+import arrow.core.left
 import arrow.core.right
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.channels.Channel
 import org.camphorhall.core.jobs.TaskRef
 import org.camphorhall.platform.worker.StartResult
@@ -30,6 +32,12 @@
     val healthResponses = Channel<Either<WorkerError, Boolean>>(Channel.UNLIMITED)
     val shares = mutableListOf<Pair<TaskRef, Int>>()
 
+    /** Results of the next throttle calls; later ones succeed. */
+    val shareErrors = ArrayDeque<WorkerError>()
+
+    /** Whether throttle calls get no response until they are cancelled. */
+    var isShareHeld = false
+
     override suspend fun start(call: StartRequest): StartResult = Start(call).also { starts.send(it) }.response.await()
 
     override suspend fun stop(task: TaskRef, attempt: Int, token: Long): Either<WorkerError, WorkerTime> =
@@ -48,7 +56,11 @@
         attempt: Int,
         percent: Int,
         token: Long,
-    ): Either<WorkerError, WorkerTime> = WorkerTime(0).right().also { shares += task to percent }
+    ): Either<WorkerError, WorkerTime> {
+        shares += task to percent
+        if (isShareHeld) awaitCancellation()
+        return shareErrors.removeFirstOrNull()?.left() ?: WorkerTime(0).right()
+    }
 
     override suspend fun isHealthy(path: String): Either<WorkerError, Boolean> = healthResponses.receive()
 
