Report the share of a backfill attempt as unknown until it is set

What callers would see: an owner that takes a throttled task for unthrottled plans with its low usage and places more backfill tasks beside serving ones, or takes its worker for slow.

Cause: an agent reported 100 for each share that it did not know, also before it had the profiles of the tasks.

Change: RunningAttempt.share is null while unknown. The owner then uses the declared demand, does not move the task and does not compare its speed. The learned interference uses measured loads only and does not change. Shares of other tasks are ignored.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/BackfillThrottle.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/BackfillThrottle.kt
@@ -102,8 +102,14 @@
         lostCalls[key] = LostCall(now + LATE_CALL_MILLIS, now)
     }
 
-    /** The applied share of an attempt in percent; 100 if none was set. */
-    public fun shareOf(task: TaskRef, attempt: Int): Int = shares[task to attempt] ?: FULL
+    /**
+     * The applied share of an attempt in percent; null while unknown, because another process has started the attempt
+     * or the last call got no response.
+     */
+    public fun shareOf(task: TaskRef, attempt: Int): Int? {
+        val key = task to attempt
+        return if (lostCalls[key]?.isReplaced == false) null else shares[key] ?: FULL.takeIf { key in started }
+    }
 
     private fun headroomOf(row: RunningAttempt, t: TaskProfile): Double =
         (t.latencyTargetMillis ?: 0).toDouble() / row.load
@@ -154,7 +160,7 @@
             (missedSamples[row.task] ?: 0) >= MAX_MISSED_SAMPLES &&
                 costOf(b, t, inputs, b.load) >= maxCost * MIN_COST_FRACTION
         }
-        return if (isLikelyCause) shareOf(b.task, b.attempt) / 2 else FULL
+        return if (isLikelyCause) (shares[b.task to b.attempt] ?: FULL) / 2 else FULL
     }
 
     /** Largest fraction of a serving task's remaining headroom that the backfill task costs per unit of its CPU. */
@@ -165,7 +171,7 @@
     /** CPU that a task uses at its full share, from its last measurement or its declared demand. */
     private fun fullShareCpu(row: RunningAttempt, inputs: Inputs): Long {
         val declared = inputs.profiles[row.task]?.cpuMillis ?: 0
-        val share = shareOf(row.task, row.attempt)
+        val share = shares[row.task to row.attempt] ?: FULL
         return if (share < FULL) declared else maxOf(declared, row.load)
     }
 
@@ -181,8 +187,8 @@
         val applied = shares[key]
         val next = if (applied == null) target else target.coerceAtMost(applied + maxIncrease)
         val isDue = applied == null || isNewSample
-        val isUnknown = applied == null && key !in started ||
-            lostCalls[key]?.let { !it.isReplaced || now - it.repeatedAt >= REPEAT_MILLIS } ?: false
+        val isRepeatDue = lostCalls[key]?.let { now - it.repeatedAt >= REPEAT_MILLIS } ?: false
+        val isUnknown = shareOf(row.task, row.attempt) == null || isRepeatDue
         val difference = next - (applied ?: FULL)
         val isSignificant =
             isUnknown || difference < 0 || difference >= MIN_INCREASE || difference > 0 && next == FULL
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/RunningAttempt.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/RunningAttempt.kt
@@ -13,6 +13,6 @@
     val percent: Int = 0,
     /** Tail latency in milliseconds for a task with a latency target, otherwise CPU usage in thousandths of a core. */
     val load: Long = 0,
-    /** CPU share granted to a backfill task, in percent; 100 is unthrottled. */
-    val share: Int = 100,
+    /** CPU share granted to a backfill task, in percent; 100 is unthrottled, null unknown. */
+    val share: Int? = 100,
 )
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TaskScheduling.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TaskScheduling.kt
@@ -60,7 +60,8 @@
     }
 
     /**
-     * Throttled backfill tasks that would get most of their CPU on another worker. Only tasks that resume from a
+     * Throttled backfill tasks that would get most of their CPU on another worker. A task with an unknown share stays,
+     * since its agent sets the share next. Only tasks that resume from a
      * checkpoint are moved, and at most one per target worker at a time.
      */
     fun throttledBackfill(workers: Collection<TrackedWorker>, now: Long): List<TrackedTask> {
@@ -69,7 +70,8 @@
         val targets = usable.filter { healthStateOf(it) == WorkerHealthState.Healthy }.toMutableList()
         return workers.flatMap { it.assigned.values }
             .filter { it.spec.backfill && it.spec.checkpoints && it.stopCause == null && it.startCommand != null }
-            .filter { it.share < settings.throttledSharePercent && it.percent < NEARLY_DONE_PERCENT }
+            .filter { t -> t.share.let { it != null && it < settings.throttledSharePercent } }
+            .filter { it.percent < NEARLY_DONE_PERCENT }
             .filter { now - it.assignedAt >= settings.moveDelayMillis * (1 + it.moves) }
             .sortedBy { it.share }
             .filter { t -> targets.remove(betterWorker(t, targets)) }
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedTask.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedTask.kt
@@ -35,11 +35,14 @@
     /** Last reported [RunningAttempt.load]; null until a measurement covers only the running time of the attempt. */
     var load: Long? = null
 
-    /** CPU share granted to a backfill task, in percent; 100 is unthrottled. */
-    var share = FULL_PERCENT
+    /** CPU share granted to a backfill task, in percent; 100 is unthrottled, null unknown. */
+    var share: Int? = FULL_PERCENT
         private set
 
-    /** Whether the current attempt was throttled, so that its progress does not indicate the speed of its worker. */
+    /**
+     * Whether the current attempt was or may have been throttled, so that its progress does not indicate the speed
+     * of its worker.
+     */
     var wasThrottled = false
         private set
 
@@ -79,10 +82,11 @@
         this.percent = percent
     }
 
-    /** Records the reported share. */
-    fun recordShare(percent: Int) {
+    /** Records the reported share of a backfill task; null if unknown. */
+    fun recordShare(percent: Int?) {
+        if (!spec.backfill) return
         share = percent
-        if (percent < MIN_UNTHROTTLED_SHARE) wasThrottled = true
+        if (percent == null || percent < MIN_UNTHROTTLED_SHARE) wasThrottled = true
     }
 
     /** Resets the state of the current attempt. The task waits for its next attempt unless it is [done]. */
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/BackfillThrottleTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/BackfillThrottleTest.kt
@@ -33,14 +33,14 @@
     /** Simulates [seconds] in which [latency] maps the backfill share to the latency of the serving task. */
     private fun simulate(throttle: BackfillThrottle, seconds: Int, from: Long = 0, latency: (Int) -> Long): Int {
         for (half in 0 until seconds * 2) {
-            val share = throttle.shareOf(backfill, 1)
+            val share = checkNotNull(throttle.shareOf(backfill, 1))
             val rows = listOf(
                 RunningAttempt(serving, 1, percent = 100, load = latency(share)),
                 RunningAttempt(backfill, 1, load = share * 10L),
             )
             decide(throttle, rows, from + half * 500L)
         }
-        return throttle.shareOf(backfill, 1)
+        return checkNotNull(throttle.shareOf(backfill, 1))
     }
 
     @Test
@@ -84,7 +84,7 @@
             decide(throttle, rows, n * 500L, known) { _, image -> if (image == "strong") 20.0 else 0.5 }
         }
         expectThat(throttle.shareOf(weak, 1)).isEqualTo(100)
-        expectThat(throttle.shareOf(backfill, 1)).isLessThan(100)
+        expectThat(checkNotNull(throttle.shareOf(backfill, 1))).isLessThan(100)
     }
 
     /** Guards against a share of an earlier process that outlives it, and against calls that change nothing. */
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/BackfillController.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/BackfillController.kt
@@ -76,9 +76,9 @@
     /** Records that the call to set [share] got no response until [now]. */
     fun recordLost(share: BackfillThrottle.Share, now: Long): Unit = throttle.recordLost(share, now)
 
-    /** Adds the current shares to the backfill tasks of [running]. */
+    /** Adds the current shares to the backfill tasks of [running], and to tasks whose profiles are not known yet. */
     fun withShares(running: List<RunningAttempt>): List<RunningAttempt> = running.map { row ->
-        if (profiles[row.task]?.backfill == true) row.copy(share = throttle.shareOf(row.task, row.attempt)) else row
+        if (profiles[row.task]?.backfill != false) row.copy(share = throttle.shareOf(row.task, row.attempt)) else row
     }
 
     /** Latency and target of each serving task in milliseconds, for logs. */
@@ -88,7 +88,7 @@
     /** CPU usage and demand, in thousandths of a core, and share of each backfill task, for logs. */
     fun backfillMetrics(running: List<RunningAttempt>): List<String> = running.mapNotNull { row ->
         profiles[row.task]?.takeIf { it.backfill }
-            ?.let { "${row.load}/${it.cpuMillis} at ${throttle.shareOf(row.task, row.attempt)} %" }
+            ?.let { "${row.load}/${it.cpuMillis} at ${throttle.shareOf(row.task, row.attempt) ?: "?"} %" }
     }
 
     private fun interferenceWeight(serving: String, backfill: String): Double =
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/BackfillSharesTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/BackfillSharesTest.kt
@@ -25,6 +25,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
+import strikt.assertions.isNull
 
 /** Tests the shares that an agent sets when it does not know what the worker has applied. */
 @OptIn(ExperimentalCoroutinesApi::class)
@@ -47,6 +48,21 @@
         expectThat(worker.shares).hasSize(1)
     }
 
+    /** Guards against an owner that plans with a share of 100 % of a throttled task. */
+    @Test
+    fun `a share is reported as unknown until it is set`() = runTest {
+        val link = linkWithLease(worker)
+        worker.shareErrors += WorkerError.Unknown("timeout")
+        respondWith(link, latency = 5)
+        expectThat<Int?>(reportedShare(link)).isNull()
+        link.addProfiles(profiles)
+        expectThat<Int?>(reportedShare(link)).isNull()
+        respondWith(link, latency = 5)
+        expectThat<Int?>(reportedShare(link)).isNull()
+        respondWith(link, latency = 5)
+        expectThat<Int?>(reportedShare(link)).isEqualTo(100)
+    }
+
     /** Guards against a call for each backfill task that starts beside no serving task. */
     @Test
     fun `an attempt that the agent has started is unthrottled without a call`() = runTest {
@@ -107,6 +123,9 @@
         expectThat(worker.shares.last().second).isEqualTo(100)
     }
 
+    private suspend fun reportedShare(link: WorkerLink): Int? =
+        link.report(isFenced = true).running.single { it.task == backfill }.share
+
     /** A new agent that has the profiles of the tasks from the owner. */
     private suspend fun TestScope.takeOver(): WorkerLink = linkWithLease(worker).also { it.addProfiles(profiles) }
 
