--- a/core/src/main/kotlin/org/camphorhall/core/jobs/BackfillThrottle.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/BackfillThrottle.kt
@@ -12,7 +12,15 @@
 public class BackfillThrottle {
     /** Number of consecutive samples in which each serving task missed its latency target. */
     private val missedSamples = HashMap<TaskRef, Int>()
+
+    /** Shares that the worker has applied, by task and attempt. */
     private val shares = HashMap<Pair<TaskRef, Int>, Int>()
+
+    /** Attempts that this process has started, which run at 100 % until a share is applied. */
+    private val started = HashSet<Pair<TaskRef, Int>>()
+
+    /** Calls without a response; the worker may still carry them out, after newer calls. */
+    private val lostCalls = HashMap<Pair<TaskRef, Int>, LostCall>()
     private var lastSampleAt: Long? = null
     private var lastMissAt: Long? = null
 
@@ -24,6 +32,12 @@
     public var minHeadroom: Double? = null
         private set
 
+    /** A call without a response, which may be carried out until [until]. The last one was made at [repeatedAt]. */
+    private class LostCall(val until: Long, var repeatedAt: Long) {
+        /** Whether the worker has applied a share since. */
+        var isReplaced = false
+    }
+
     /** The CPU share to set for an attempt, in percent; 100 is unthrottled. */
     public data class Share(val task: TaskRef, val attempt: Int, val percent: Int)
 
@@ -43,7 +57,11 @@
         val serving = inputs.running.filter { it.percent == FULL && it.load > 0 }.mapNotNull { row ->
             inputs.profiles[row.task]?.takeIf { it.latencyTargetMillis != null }?.let { row to it }
         }
-        shares.keys.retainAll(backfill.mapTo(HashSet()) { it.task to it.attempt })
+        val tracked = backfill.mapTo(HashSet()) { it.task to it.attempt }
+        shares.keys.retainAll(tracked)
+        started.retainAll(tracked)
+        lostCalls.keys.retainAll(tracked)
+        lostCalls.values.removeIf { it.isReplaced && now >= it.until }
         missedSamples.keys.retainAll(serving.mapTo(HashSet()) { it.first.task })
         val isNewSample = lastSampleAt?.let { now - it >= SAMPLE_MILLIS } ?: true
         if (isNewSample) {
@@ -58,16 +76,40 @@
         meanSharePercent = if (targets.isEmpty()) FULL else targets.values.sum() / targets.size
         val isCautious = lastMissAt?.let { now - it < CAUTIOUS_MILLIS } ?: false
         val maxIncrease = if (isCautious) CAUTIOUS_MAX_INCREASE else MAX_INCREASE
-        return targets.mapNotNull { (row, share) -> change(row, share, maxIncrease, isNewSample) }
+        return targets.mapNotNull { (row, share) -> change(row, share, maxIncrease, isNewSample, now) }
+            .onEach { lostCalls[it.task to it.attempt]?.repeatedAt = now }
+    }
+
+    /** Records that this process has started an attempt. The share of any other attempt is unknown until applied. */
+    public fun recordStarted(task: TaskRef, attempt: Int) {
+        started += task to attempt
     }
 
     /** Records that the worker has applied [share]. */
     public fun recordApplied(share: Share) {
         shares[share.task to share.attempt] = share.percent
+        lostCalls[share.task to share.attempt]?.isReplaced = true
+    }
+
+    /**
+     * Records at [now] that the call to set [share] got no response. The share is set again until a call succeeds, and
+     * then every [REPEAT_MILLIS] for as long as the lost call may be carried out late and undo it.
+     */
+    public fun recordLost(share: Share, now: Long) {
+        val key = share.task to share.attempt
+        // The lower share bounds the next increase.
+        shares.merge(key, share.percent, ::minOf)
+        lostCalls[key] = LostCall(now + LATE_CALL_MILLIS, now)
     }
 
-    /** The applied share of an attempt in percent; 100 if none was set. */
-    public fun shareOf(task: TaskRef, attempt: Int): Int = shares[task to attempt] ?: FULL
+    /**
+     * The applied share of an attempt in percent; null while unknown, because another process has started the attempt
+     * or the last call got no response.
+     */
+    public fun shareOf(task: TaskRef, attempt: Int): Int? {
+        val key = task to attempt
+        return if (lostCalls[key]?.isReplaced == false) null else shares[key] ?: FULL.takeIf { key in started }
+    }
 
     private fun headroomOf(row: RunningAttempt, t: TaskProfile): Double =
         (t.latencyTargetMillis ?: 0).toDouble() / row.load
@@ -118,7 +160,7 @@
             (missedSamples[row.task] ?: 0) >= MAX_MISSED_SAMPLES &&
                 costOf(b, t, inputs, b.load) >= maxCost * MIN_COST_FRACTION
         }
-        return if (isLikelyCause) shareOf(b.task, b.attempt) / 2 else FULL
+        return if (isLikelyCause) (shares[b.task to b.attempt] ?: FULL) / 2 else FULL
     }
 
     /** Largest fraction of a serving task's remaining headroom that the backfill task costs per unit of its CPU. */
@@ -129,17 +171,27 @@
     /** CPU that a task uses at its full share, from its last measurement or its declared demand. */
     private fun fullShareCpu(row: RunningAttempt, inputs: Inputs): Long {
         val declared = inputs.profiles[row.task]?.cpuMillis ?: 0
-        val share = shareOf(row.task, row.attempt)
+        val share = shares[row.task to row.attempt] ?: FULL
         return if (share < FULL) declared else maxOf(declared, row.load)
     }
 
     /** Sets the share of a new task at once and changes others once per sample; increases are limited per sample. */
-    private fun change(row: RunningAttempt, target: Int, maxIncrease: Int, isNewSample: Boolean): Share? {
-        val current = shares[row.task to row.attempt]
-        val next = if (current == null) target else target.coerceAtMost(current + maxIncrease)
-        val isDue = current == null || isNewSample
-        val difference = next - (current ?: FULL)
-        val isSignificant = difference < 0 || difference >= MIN_INCREASE || difference > 0 && next == FULL
+    private fun change(
+        row: RunningAttempt,
+        target: Int,
+        maxIncrease: Int,
+        isNewSample: Boolean,
+        now: Long,
+    ): Share? {
+        val key = row.task to row.attempt
+        val applied = shares[key]
+        val next = if (applied == null) target else target.coerceAtMost(applied + maxIncrease)
+        val isDue = applied == null || isNewSample
+        val isRepeatDue = lostCalls[key]?.let { now - it.repeatedAt >= REPEAT_MILLIS } ?: false
+        val isUnknown = shareOf(row.task, row.attempt) == null || isRepeatDue
+        val difference = next - (applied ?: FULL)
+        val isSignificant =
+            isUnknown || difference < 0 || difference >= MIN_INCREASE || difference > 0 && next == FULL
         return if (isDue && isSignificant) Share(row.task, row.attempt, next) else null
     }
 
@@ -162,6 +214,12 @@
         /** A smaller increase, in percent, is not worth a call to the worker. */
         const val MIN_INCREASE = 5
 
+        /** Longest time for which a call without a response is expected to be carried out, in milliseconds. */
+        const val LATE_CALL_MILLIS = 15_000L
+
+        /** Period in which a share is set again, in milliseconds; a late call undoes it for no longer. */
+        const val REPEAT_MILLIS = 2_000L
+
         /** Number of consecutive missed samples after which the learned weights are no longer relied on. */
         const val MAX_MISSED_SAMPLES = 2
 
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/BackfillController.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/BackfillController.kt
@@ -40,6 +40,7 @@
     /** Records that the response to the start request of [command] arrived at [now]. */
     fun recordStartResponse(command: WorkerCommand.Start, now: Long) {
         started[command.task] = Started(command.attempt, now)
+        throttle.recordStarted(command.task, command.attempt)
     }
 
     /**
@@ -72,9 +73,12 @@
     /** Records that the worker applied [share]. */
     fun recordApplied(share: BackfillThrottle.Share): Unit = throttle.recordApplied(share)
 
-    /** Adds the current shares to the backfill tasks of [running]. */
+    /** Records that the call to set [share] got no response until [now]. */
+    fun recordLost(share: BackfillThrottle.Share, now: Long): Unit = throttle.recordLost(share, now)
+
+    /** Adds the current shares to the backfill tasks of [running], and to tasks whose profiles are not known yet. */
     fun withShares(running: List<RunningAttempt>): List<RunningAttempt> = running.map { row ->
-        if (profiles[row.task]?.backfill == true) row.copy(share = throttle.shareOf(row.task, row.attempt)) else row
+        if (profiles[row.task]?.backfill != false) row.copy(share = throttle.shareOf(row.task, row.attempt)) else row
     }
 
     /** Latency and target of each serving task in milliseconds, for logs. */
@@ -84,7 +88,7 @@
     /** CPU usage and demand, in thousandths of a core, and share of each backfill task, for logs. */
     fun backfillMetrics(running: List<RunningAttempt>): List<String> = running.mapNotNull { row ->
         profiles[row.task]?.takeIf { it.backfill }
-            ?.let { "${row.load}/${it.cpuMillis} at ${throttle.shareOf(row.task, row.attempt)} %" }
+            ?.let { "${row.load}/${it.cpuMillis} at ${throttle.shareOf(row.task, row.attempt) ?: "?"} %" }
     }
 
     private fun interferenceWeight(serving: String, backfill: String): Double =
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/ScriptedWorker.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/ScriptedWorker.kt
@@ -1,8 +1,10 @@
 package org.camphorhall.scheduler.agent
 
 import arrow.core.Either
+import arrow.core.left
 import arrow.core.right
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.channels.Channel
 import org.camphorhall.core.jobs.TaskRef
 import org.camphorhall.platform.worker.StartResult
@@ -33,6 +35,12 @@
     var onStop: suspend () -> Either<WorkerError, WorkerTime> = { WorkerTime(0).right() }
     val shares = mutableListOf<Pair<TaskRef, Int>>()
 
+    /** Results of the next throttle calls; later ones succeed. */
+    val shareErrors = ArrayDeque<WorkerError>()
+
+    /** Whether throttle calls get no response until they are cancelled. */
+    var isShareHeld = false
+
     override suspend fun start(call: StartRequest): StartResult = Start(call).also { starts.send(it) }.response.await()
 
     override suspend fun stop(task: TaskRef, attempt: Int, token: Long): Either<WorkerError, WorkerTime> = onStop()
@@ -50,7 +58,11 @@
         attempt: Int,
         percent: Int,
         token: Long,
-    ): Either<WorkerError, WorkerTime> = WorkerTime(0).right().also { shares += task to percent }
+    ): Either<WorkerError, WorkerTime> {
+        shares += task to percent
+        if (isShareHeld) awaitCancellation()
+        return shareErrors.removeFirstOrNull()?.left() ?: WorkerTime(0).right()
+    }
 
     override suspend fun isHealthy(path: String): Either<WorkerError, Boolean> = healthResponses.receive()
 
