Let workers of a fleet drop and delay stops, and list their runs

No test could cause that: the stand-in carried out each stop at once, and its report named started and completed tasks, but neither times nor causes of ends.

Change: the faults dropStops (no effect, no response) and delayStopsMillis (carried out late, also after the caller gave up), and a list of all runs in the report.

--- a/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerService.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerService.kt
@@ -44,7 +44,7 @@
         endpoint(HttpMethod.Post, "/v1/run-start") { call ->
             if (isUnhealthy) BufferedResponse(UNAVAILABLE) else handleCommand(call) { command -> start(command) }
         }
-        endpoint(HttpMethod.Post, "/v1/run-stop") { call ->
+        stopEndpoint("/v1/run-stop") { call ->
             handleCommand(call) { command -> null.also { state.stop(command.task, command.run, clock()) } }
         }
         endpoint(HttpMethod.Post, "/v1/pace") { call -> handleCommand(call) { null } }
--- a/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerState.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/fleet/FleetWorkerState.kt
@@ -67,7 +67,7 @@
 
     /** Ends all runs without listing them. */
     fun endAll() {
-        running.keys.forEach { oracle.recordEnd(id, it, isCompleted = false) }
+        running.keys.forEach { oracle.recordEnd(id, it, "crashed") }
         running.clear()
     }
 
@@ -86,12 +86,12 @@
 
     private fun end(task: String, cause: String) {
         val run = running.remove(task) ?: return
-        oracle.recordEnd(id, task, cause == DONE)
+        oracle.recordEnd(id, task, cause)
         ended += End(++lastEndNumber, task, run.run, cause)
     }
 
     private companion object {
         const val FULL_PERCENT = 100
-        const val DONE = "done"
+        const val DONE = FleetOracle.DONE
     }
 }
--- a/dev/src/main/kotlin/org/camphorhall/dev/http/Endpoints.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/http/Endpoints.kt
@@ -37,6 +37,12 @@
             faults.apply(isMutating = method != HttpMethod.Get) { handle(call) }
         }
 
+    /** Defines an endpoint that stops a task and is subject to the faults, among them those of stops. */
+    fun stopEndpoint(path: String, handle: suspend (ApplicationCall) -> BufferedResponse) =
+        debugEndpoint(HttpMethod.Post, path) { call ->
+            faults.apply(isMutating = true, isStop = true) { handle(call) }
+        }
+
     /** Defines an endpoint for the test harness, to which faults do not apply. */
     fun debugEndpoint(method: HttpMethod, path: String, handle: suspend (ApplicationCall) -> BufferedResponse) {
         routing.route(prefix + path, method) {
--- a/dev/src/main/kotlin/org/camphorhall/dev/http/FaultInjector.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/http/FaultInjector.kt
@@ -18,16 +18,20 @@
 
     /**
      * Runs [handle] under the active faults. For requests that are not [isMutating], a fault that is set while the
-     * request is handled also applies.
+     * request is handled also applies. A request that [isStop] is also subject to the faults of stops.
      */
-    suspend fun apply(isMutating: Boolean, handle: suspend () -> BufferedResponse): BufferedResponse {
+    suspend fun apply(
+        isMutating: Boolean,
+        isStop: Boolean = false,
+        handle: suspend () -> BufferedResponse,
+    ): BufferedResponse {
         val before = active
-        if (before.silent) return awaitDisconnect()
+        if (before.silent || isStop && before.dropStops) return awaitDisconnect()
         if (before.outage) return unavailable()
         if (isMutating) {
             // A mutating request takes effect after the delay even if its caller disconnects in the meantime.
             val response = withContext(NonCancellable) {
-                delay(before.delayMillis)
+                delay(before.delayMillis + if (isStop) before.delayStopsMillis else 0)
                 handle()
             }
             return if (before.dropResponses) awaitDisconnect() else response
--- a/dev/src/main/kotlin/org/camphorhall/dev/http/Faults.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/http/Faults.kt
@@ -20,4 +20,11 @@
     val expireLeases: Boolean = false,
     /** Every task that starts fails at once. Supported by the worker runtime only. */
     val failTasks: Boolean = false,
+    /** Calls that stop a task have no effect and receive no response. Supported by the workers of a fleet only. */
+    val dropStops: Boolean = false,
+    /**
+     * Delay before a call that stops a task is handled, in milliseconds; it is handled even if its caller gives up.
+     * Supported by the workers of a fleet only.
+     */
+    val delayStopsMillis: Long = 0,
 )
--- a/dev/src/test/kotlin/org/camphorhall/dev/fleet/FleetWorkerAdapterTest.kt
+++ b/dev/src/test/kotlin/org/camphorhall/dev/fleet/FleetWorkerAdapterTest.kt
@@ -1,6 +1,7 @@
 package org.camphorhall.dev.fleet
 
 import arrow.core.getOrElse
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import org.camphorhall.core.jobs.TaskRef
 import org.camphorhall.core.jobs.WorkerKey
@@ -10,13 +11,20 @@
 import org.camphorhall.platform.worker.StartResult
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
 import strikt.api.expectThat
 import strikt.assertions.isA
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse.BodyHandlers
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Tests the adapter for the users' workers against a stand-in that speaks their protocol. */
@@ -27,18 +35,24 @@
     }
 
     // The first request of a test process loads client and server classes, which takes up to a second under load.
-    private val worker =
-        fleetTaskWorker("127.0.0.1:${server.port}", WorkerKey("instance", "worker", 0), 1.seconds, 3.seconds)
+    private val worker = client(callTimeout = 3.seconds)
+    private val impatientWorker = client(callTimeout = 500.milliseconds)
+
+    private fun client(callTimeout: Duration) =
+        fleetTaskWorker("127.0.0.1:${server.port}", WorkerKey("instance", "worker", 0), 1.seconds, callTimeout)
 
     @AfterEach
     fun stop() {
         worker.close()
+        impatientWorker.close()
         server.stop()
     }
 
-    private fun debug(path: String) {
-        val request = HttpRequest.newBuilder(URI("http://127.0.0.1:${server.port}/debug/$path"))
-            .PUT(HttpRequest.BodyPublishers.noBody()).build()
+    private fun debug(path: String) = put("debug/$path", "")
+
+    private fun put(path: String, body: String) {
+        val request = HttpRequest.newBuilder(URI("http://127.0.0.1:${server.port}/$path"))
+            .PUT(HttpRequest.BodyPublishers.ofString(body)).build()
         HttpClient.newHttpClient().send(request, BodyHandlers.discarding())
     }
 
@@ -55,4 +69,34 @@
         debug("healthy")
         expectThat(worker.start(call)).isEqualTo(StartResult.Started)
     }
+
+    /** Stops that do not reach a task while their caller waits. */
+    enum class StopFault(val faults: String, val isLost: Boolean) {
+        Dropped("""{"dropStops":true}""", isLost = true),
+        Delayed("""{"delayStopsMillis":1500}""", isLost = false),
+    }
+
+    /** Guards against a test of lost or late stops whose stops take effect at once. */
+    @ParameterizedTest
+    @EnumSource(StopFault::class)
+    fun `a stop under a fault gets no response and is carried out late or never`(fault: StopFault) = runBlocking<Unit> {
+        put("faults", fault.faults)
+        val clock = list().time
+        val call = StartRequest(task, 1, "-1", "", clock.millis + 60_000, 1)
+        expectThat(worker.start(call)).isEqualTo(StartResult.Started)
+        expectThat(impatientWorker.stop(task, 1, token = 1).isLeft()).isTrue()
+        expectThat(list().running).hasSize(1)
+        delay(2.seconds)
+        expectThat(list().running).hasSize(if (fault.isLost) 1 else 0)
+        put("faults", "{}")
+        expectThat(worker.stop(task, 1, token = 1).isRight()).isTrue()
+        expectThat(list().running).isEmpty()
+    }
+
+    private suspend fun list() =
+        worker.poll(token = 1, lastSeenEnd = 0, leaseUntilMillis = null, 0.seconds).getOrElse { error("$it") }
+
+    private companion object {
+        val task = TaskRef("00000000000000aa", 0, 0, 0)
+    }
 }
--- a/dev/src/test/kotlin/org/camphorhall/dev/fleet/FleetWorkerStateTest.kt
+++ b/dev/src/test/kotlin/org/camphorhall/dev/fleet/FleetWorkerStateTest.kt
@@ -2,12 +2,14 @@
 
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 
 /** Tests the guarantees of the worker stand-in that the oracle of the soak test relies on. */
 internal class FleetWorkerStateTest {
-    private val oracle = FleetOracle()
+    private var time = 0L
+    private val oracle = FleetOracle { time }
     private val first = FleetWorkerState(1_000, oracle, "first")
     private val second = FleetWorkerState(1_000, oracle, "second")
 
@@ -45,4 +47,21 @@
         first.begin(run = 3, now = 9_100)
         expectThat(oracle.report().violations).hasSize(2)
     }
+
+    /** Guards against checks of stopped tasks that see a lapsed or crashed run as stopped, or a later run as ended. */
+    @Test
+    fun `the report has each run with its times and the cause of its end`() {
+        first.begin(run = 1, now = 0)
+        time = 400
+        first.stop("job.0.0.0", 1, now = 400)
+        first.begin(run = 2, now = 500)
+        time = 600
+        first.endAll()
+        second.begin(run = 3, now = 700)
+        expectThat(oracle.report().runs).containsExactly(
+            FleetOracle.TaskRun("job.0.0.0", 1, "first", startedAt = 0, endedAt = 400, end = "stopped"),
+            FleetOracle.TaskRun("job.0.0.0", 2, "first", startedAt = 400, endedAt = 600, end = "crashed"),
+            FleetOracle.TaskRun("job.0.0.0", 3, "second", startedAt = 600),
+        )
+    }
 }
