Send an unknown share as a field of its own

What operators would see: agents of this build could not connect to an owner of the build before while backfill tasks run, since that build decodes only a number as the share of an attempt. The flag is ignored there, and the share reads as 100, as before.

Change: RunningAttempt.isShareKnown beside the number. UnknownShareTest has the two forms of the message; two builds were not run against each other.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
@@ -225,7 +225,7 @@
     private fun update(t: TrackedTask, row: RunningAttempt, now: Long) {
         if (row.checkpoint.isNotEmpty()) t.checkpoint = row.checkpoint
         t.recordProgress(row.percent, now)
-        t.recordShare(row.share)
+        t.recordShare(row.knownShare)
         if (now - t.assignedAt >= settings.minMeasuredAgeMillis) t.load = row.load
     }
 
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/UnknownShareTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/UnknownShareTest.kt
@@ -1,5 +1,6 @@
 package org.camphorhall.core.jobs
 
+import kotlinx.serialization.json.Json
 import org.camphorhall.core.jobs.ShardHarness.Companion.JOB
 import org.camphorhall.core.jobs.ShardHarness.Companion.record
 import org.camphorhall.core.jobs.ShardHarness.Companion.step
@@ -7,8 +8,10 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
 
 /** Tests what an owner does with a backfill task whose share its agent does not know. */
 internal class UnknownShareTest {
@@ -32,6 +35,17 @@
         expectThat(t.wasThrottled).isEqualTo(false)
     }
 
+    /** Guards against agents that cannot connect to an owner of an earlier build, which decodes only numbers. */
+    @Test
+    fun `an unknown share is a number in messages`() {
+        val attempt = RunningAttempt(TaskRef(JOB, 0, 0, 0), 1).withShare(null)
+        val text = Json.encodeToString(RunningAttempt.serializer(), attempt)
+        expectThat(text).contains("\"isShareKnown\":false").not().contains("null")
+        expectThat(Json.decodeFromString(RunningAttempt.serializer(), text).knownShare).isNull()
+        val earlier = """{"task":"$JOB/0/0/0","attempt":1,"share":30}"""
+        expectThat(Json.decodeFromString(RunningAttempt.serializer(), earlier).knownShare).isEqualTo(30)
+    }
+
     /** Guards against a move that loses work although the task is not throttled. */
     @ParameterizedTest
     @CsvSource(nullValues = ["unknown"], value = ["100, 0", "20, 1", "unknown, 0"])
@@ -49,7 +63,7 @@
         expectThat(h.starts).hasSize(2)
         h.report(2)
         h.now += 2_500
-        h.report(1, running = h.runningOn(1).map { it.copy(percent = 50, load = 10, share = share) })
+        h.report(1, running = h.runningOn(1).map { it.copy(percent = 50, load = 10).withShare(share) })
         h.report(2)
         h.tick(0)
         expectThat(h.stops).hasSize(moves)
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/replay/ReplayWorker.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/replay/ReplayWorker.kt
@@ -137,8 +137,7 @@
             attempt = r.command.attempt,
             percent = if (isServing) FULL else (FULL * r.done / cluster.work(r.command.task)).toInt().coerceAtMost(99),
             load = if (isServing) r.measurement else mean.toLong(),
-            share = throttle.shareOf(r.command.task, r.command.attempt),
-        )
+        ).withShare(throttle.shareOf(r.command.task, r.command.attempt))
     }
 
     private companion object {
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/BackfillController.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/BackfillController.kt
@@ -78,7 +78,7 @@
 
     /** Adds the current shares to the backfill tasks of [running], and to tasks whose profiles are not known yet. */
     fun withShares(running: List<RunningAttempt>): List<RunningAttempt> = running.map { row ->
-        if (profiles[row.task]?.backfill != false) row.copy(share = throttle.shareOf(row.task, row.attempt)) else row
+        if (profiles[row.task]?.backfill != false) row.withShare(throttle.shareOf(row.task, row.attempt)) else row
     }
 
     /** Latency and target of each serving task in milliseconds, for logs. */
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/BackfillSharesTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/BackfillSharesTest.kt
@@ -124,7 +124,7 @@
     }
 
     private suspend fun reportedShare(link: WorkerLink): Int? =
-        link.report(isFenced = true).running.single { it.task == backfill }.share
+        link.report(isFenced = true).running.single { it.task == backfill }.knownShare
 
     /** A new agent that has the profiles of the tasks from the owner. */
     private suspend fun TestScope.takeOver(): WorkerLink = linkWithLease(worker).also { it.addProfiles(profiles) }
