Attach agents again whose shard has closed on their connection

What callers would see: around a hand-over, workers without an owner for as long as their agents wait for a response, 1.5 to 6 s.

Cause: a connection kept the shard that it was attached to. A shard that closes closes the connections that it has handled a report of, but not those of agents that attached while it was loaded; their reports went to a loop that had ended.

Evidence: `agents that attached while the shard was loaded are told its successor` of SchedulerServiceTest failed before the change (no message in 5 s) and passes now, as do the other cases of SchedulerServiceTest, ShardCandidateTest and SingleRunTest. How often an owner is replaced while it loads was not measured.

Change: a report on a connection whose shard is no longer the one of the process attaches the agent again, which names the successor or closes the connection.

--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/SchedulerService.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/SchedulerService.kt
@@ -36,7 +36,8 @@
                             connection.send(PeerFrame.Response(frame.id, respond(frame.request)))
                         }
                         is PeerFrame.FromAgent -> {
-                            val current = attachment ?: attach(connection).also { attachment = it }
+                            val current = attachment?.takeIf { it.shard === owner() }
+                                ?: reattach(attachment, connection).also { attachment = it }
                             current?.shard?.send(OwnerEvent.Reported(current.session, frame.message))
                         }
                         is PeerFrame.Response, is PeerFrame.FromOwner, is PeerFrame.NewOwner -> Unit
@@ -48,6 +49,12 @@
         }
     }
 
+    /** Replaces [last], whose shard has closed; the shard closes only the connections that it has reports of. */
+    private fun reattach(last: Attachment?, connection: PeerConnection): Attachment? {
+        last?.end()
+        return attach(connection)
+    }
+
     /** Attaches the agent at [connection] to the shard, or directs it to the owner if that is another process. */
     private fun attach(connection: PeerConnection): Attachment? {
         val session = AgentSession(lastSession.incrementAndGet(), connection)
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/SchedulerServiceTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/SchedulerServiceTest.kt
@@ -88,6 +88,32 @@
         return withTimeoutOrNull(5.seconds) { told.await() }
     }
 
+    /** Guards against agents that go on reporting to a shard that was replaced before it was loaded. */
+    @Test
+    fun `agents that attached while the shard was loaded are told its successor`(): Unit = runBlocking {
+        val ownership = Ownership(store, keys, "owner", address, SystemClock).also { it.tryAcquire() }
+        val loading = ShardOwner(ownership, ShardStore(store, keys), JobShardSettings(), SystemClock)
+        owner = loading
+        server.start()
+        val told = CompletableDeferred<ShardOwnerRecord?>()
+        val connection = sockets.open(address)
+        val responded = CompletableDeferred<Unit>()
+        val reading = launchReading(connection) {
+            if (it is PeerFrame.NewOwner) told.complete(it.owner)
+            if (it is PeerFrame.Response) responded.complete(Unit)
+        }
+        reading.invokeOnCompletion { told.complete(null) }
+        connection.send(PeerFrame.FromAgent(report))
+        // Frames of a connection are handled in order, so the report was received before this request is responded to.
+        connection.send(PeerFrame.Request(1, OwnerRequest.StoreCancellation("none")))
+        withTimeout(5.seconds) { responded.await() }
+        loading.close()
+        owner = null
+        otherOwner = successor
+        connection.send(PeerFrame.FromAgent(report))
+        expectThat(withTimeoutOrNull(5.seconds) { told.await() }).isEqualTo(successor)
+    }
+
     /** Guards against workers without an owner for as long as their agents poll the store for the new one. */
     @Test
     fun `agents of a replaced owner are told its successor`(): Unit = runBlocking {
