Keep a finished job while its record is being written

What operators would see: an owner releases its shard ('shard lost') although no other process has acquired it.

Cause: a job expired while a commit with its record was in progress. Its records were deleted beside the write, whose condition then failed.

The conflict at the store was not run.

Change: a job expires only when its record is neither unsaved nor being written.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
@@ -17,6 +17,9 @@
 
     /** Arrival times of cancellations, by the ids of jobs whose own notices may be slower. */
     private val earlyCancellations = HashMap<String, Long>()
+
+    /** Ids of the jobs whose records are being written. */
+    private var committing: Set<String> = emptySet()
     private val scheduling = TaskScheduling(settings, BackfillForecast(state.interference))
     private val reports = ReportHandling(state, settings)
     private val moves = TaskMoves(state, settings, scheduling)
@@ -139,7 +142,8 @@
     public fun nextCommit(): Commit? {
         if (unsaved.isEmpty()) return null
         val ids = unsaved.take(settings.jobsPerCommit)
-        unsaved -= ids.toSet()
+        committing = ids.toSet()
+        unsaved -= committing
         val outgoing = mutableListOf<Outgoing>()
         val writes = ids.mapNotNull { jobs[it] }.map { job ->
             outgoing += job.outbox
@@ -151,6 +155,7 @@
 
     /** Records that [commit] was stored at [revision], and sends the messages that waited for it. */
     public fun committed(commit: Commit, revision: Long, now: Long) {
+        committing = emptySet()
         for (w in commit.writes) {
             val job = jobs[w.job] ?: continue
             job.revision = revision
@@ -173,8 +178,9 @@
     public fun expire(now: Long): List<String> {
         earlyCancellations.values.removeIf { it + settings.retentionMillis < now }
         val expired = jobs.values.filter { it.phase.isFinal && it.endedAt + settings.retentionMillis < now }
-            .filter { job -> job.allTasks.all { it.worker == null } && job.record.id !in unsaved }
+            .filter { job -> job.allTasks.all { it.worker == null } }
             .map { it.record.id }
+            .filter { it !in unsaved && it !in committing }
         jobs -= expired.toSet()
         return expired
     }
--- /dev/null
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/JobExpiryTest.kt
@@ -0,0 +1,34 @@
+package org.camphorhall.core.jobs
+
+import org.camphorhall.core.jobs.ShardHarness.Companion.JOB
+import org.camphorhall.core.jobs.ShardHarness.Companion.end
+import org.camphorhall.core.jobs.ShardHarness.Companion.profile
+import org.camphorhall.core.jobs.ShardHarness.Companion.record
+import org.camphorhall.core.jobs.ShardHarness.Companion.step
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import strikt.assertions.isNotNull
+
+internal class JobExpiryTest {
+    /** Guards against a deletion beside a write of the same record, whose conflict costs the owner its shard. */
+    @Test
+    fun `a job expires only when its record is not being written`() {
+        val h = ShardHarness()
+        h.report(1)
+        h.shard.accept(record(listOf(step(1))), h.now)
+        h.settle()
+        val start = h.starts.single().second
+        h.report(1, running = emptyList(), ended = listOf(end(1, start, EndCause.Done)))
+        h.now += JobShardSettings().retentionMillis + 1_000
+        // The end is listed again, so that the record is written again.
+        val again = listOf(end(2, start, EndCause.Done))
+        h.shard.report(1, WorkerReport(profile(1), ended = again, remainingLeaseMillis = 3_000), h.now)
+        val commit = h.shard.nextCommit()
+        expectThat(commit).isNotNull()
+        expectThat(h.shard.expire(h.now)).isEmpty()
+        h.shard.committed(checkNotNull(commit), revision = 9, h.now)
+        expectThat(h.shard.expire(h.now)).containsExactly(JOB)
+    }
+}
