Let attempts of another incarnation wait for a fenced report

What callers would see: a task that was done runs again, or a run of a restarted worker is stopped without need.

Cause: a worker that restarts under its id may list, before its agent has fenced it, attempts that are assigned to its earlier incarnation. An end of such an attempt waited, but a later end in the same report was acknowledged, and with it the one before; a run of such an attempt counted as not assigned and was stopped.

That the task then runs again was read, not run.

Change: the ends of a report are processed up to the first one that waits, and such runs are left alone until the fenced report moves them to the new incarnation.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
@@ -32,7 +32,8 @@
         }
         if (w.reachable != wasReachable) logReachability(w, report, now)
         if (report.reachable && report.isComplete && !report.terminated) replaceEarlier(w, report)
-        report.ended.forEach { handleEnd(w, it, now) }
+        // Acknowledging a later end would acknowledge one that waits.
+        report.ended.takeWhile { !isOnOtherIncarnation(w, it.task, it.attempt) }.forEach { handleEnd(w, it, now) }
         report.rejected.forEach { handleRejection(w, it, now) }
         if (report.terminated) {
             state.releaseAll(w, "worker process is gone")
@@ -105,12 +106,18 @@
         }
     }
 
+    /**
+     * Whether an attempt is assigned to another incarnation on the instance of [w]. A complete report of the reachable
+     * worker shows which of them belong to [w].
+     */
+    private fun isOnOtherIncarnation(w: TrackedWorker, task: TaskRef, attempt: Int): Boolean {
+        val worker = state.jobs[task.job]?.task(task)?.takeIf { it.attempt == attempt }?.worker
+        return worker != null && worker != w.key && worker.instance == w.key.instance
+    }
+
     private fun handleEnd(w: TrackedWorker, end: AttemptEnd, now: Long) {
         val job = state.jobs[end.task.job]
-        val attempt = job?.task(end.task)?.takeIf { it.attempt == end.attempt }
-        // Until a complete report shows which attempts of an earlier incarnation belong to this one, the end waits.
-        if (attempt != null && attempt.worker != w.key && attempt.worker?.instance == w.key.instance) return
-        val t = attempt?.takeIf { it.worker == w.key }
+        val t = job?.task(end.task)?.takeIf { it.attempt == end.attempt && it.worker == w.key }
         // The end of an assigned attempt counts even if an odd entry of another writer has its number.
         if (t == null && end.number <= w.lastEnd) return
         w.recordEnd(end.number)
@@ -196,7 +203,9 @@
             }
         }
         for (row in report.running) {
-            if (w.assigned[row.task]?.attempt != row.attempt) state.sendStop(w, row.task, row.attempt, "not assigned")
+            val isAssigned = w.assigned[row.task]?.attempt == row.attempt
+            if (isAssigned || isOnOtherIncarnation(w, row.task, row.attempt)) continue
+            state.sendStop(w, row.task, row.attempt, "not assigned")
         }
     }
 
