--- a/core/src/test/kotlin/org/camphorhall/core/jobs/EndedJobRecoveryTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/EndedJobRecoveryTest.kt
@@ -33,14 +33,34 @@
         val earlier = endUnderEarlierOwner(jobEnd)
         val h = takeOver(earlier, jobEnd)
         val running = earlier.stops.map { (_, stop) -> RunningAttempt(stop.task, stop.attempt) }
-        repeat(20) {
-            h.report(1, running = running)
-            h.tick(100)
-        }
+        repeat(20) { h.runOn(running) }
         expectThat(h.stops.map { it.second.task }.toSet()).isEqualTo(running.map { it.task }.toSet())
         expectThat(h.starts).isEmpty()
     }
 
+    /** Guards against a successor whose stop is lost too, or that floods the agent with stops. */
+    @ParameterizedTest
+    @EnumSource(JobEnd::class)
+    fun `a second successor repeats each stop at the retry time until the attempt ends`(jobEnd: JobEnd) {
+        val earlier = endUnderEarlierOwner(jobEnd)
+        val running = earlier.stops.map { (_, stop) -> RunningAttempt(stop.task, stop.attempt) }
+        takeOver(earlier, jobEnd).let { h -> repeat(10) { h.runOn(running) } }
+        val h = takeOver(earlier, jobEnd)
+        repeat(40) { h.runOn(running) }
+        expectThat(h.stops).hasSize(3 * running.size)
+        val ends = running.mapIndexed { i, a -> AttemptEnd(i + 2L, a.task, a.attempt, EndCause.Stopped) }
+        h.report(1, running = emptyList(), ended = ends)
+        repeat(40) { h.runOn(emptyList()) }
+        expectThat(h.stops).hasSize(3 * running.size)
+        expectThat(h.starts).isEmpty()
+        expectThat(h.records.getValue(JOB).workers).isEmpty()
+    }
+
+    private fun ShardHarness.runOn(running: List<RunningAttempt>) {
+        report(1, running = running)
+        tick(100)
+    }
+
     /** Guards against a stop that waits for the repetition of one that had no connection to be sent on. */
     @ParameterizedTest
     @EnumSource(JobEnd::class)
