Test that the next owner stops the tasks of a cancelled job

With real processes: the workers drop stops, the job is cancelled and the cancel acknowledged, the owner stores Cancelled and is killed or terminated, and the workers carry out stops again after the last try of the agents.

--- a/e2e/src/test/kotlin/org/camphorhall/e2e/Polling.kt
+++ b/e2e/src/test/kotlin/org/camphorhall/e2e/Polling.kt
@@ -20,3 +20,6 @@
 }
 
 private const val POLL_MILLIS = 50L
+
+/** Milliseconds of the host's monotonic clock, which all processes on it share. */
+internal fun nowMillis(): Long = System.nanoTime() / 1_000_000
--- a/e2e/src/test/kotlin/org/camphorhall/e2e/SchedulerDeployment.kt
+++ b/e2e/src/test/kotlin/org/camphorhall/e2e/SchedulerDeployment.kt
@@ -7,8 +7,10 @@
 import java.nio.file.Files
 import java.nio.file.Path
 import java.time.Duration
+import java.util.Base64
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonObject
 
 /**
  * The scheduler's programs as processes on loopback: the simulated platform of the users, entries, and agents with
@@ -22,9 +24,27 @@
     private val areLogsRead: Boolean = true,
     hasStoreRelays: Boolean = false,
 ) : AutoCloseable {
-    /** Started and completed tasks and violated invariants, as recorded by the simulated platform. */
+    /** Started and completed tasks, all runs and violated invariants, as recorded by the simulated platform. */
     @Serializable
-    class RunReport(val started: List<String>, val done: List<String>, val violations: List<String>)
+    class RunReport(
+        val started: List<String>,
+        val done: List<String>,
+        val runs: List<TaskRun>,
+        val violations: List<String>,
+    )
+
+    /** A run on a worker. Times are milliseconds of the host's monotonic clock; without [end] the task runs. */
+    @Serializable
+    data class TaskRun(
+        val task: String,
+        val run: Int,
+        val worker: String,
+        val startedAt: Long,
+        val endedAt: Long?,
+        val end: String?,
+    ) {
+        val job: String get() = task.substringBefore('.')
+    }
 
     /** An entry process and its port for callers. */
     class Entry(val process: LaunchedProcess, val port: Int)
@@ -37,6 +57,7 @@
         dir.resolve("fleet.log"),
     )
     private val storePort = fleet.awaitListeningPort("port")
+    private val workerPorts = heartbeatPorts.indices.map { fleet.awaitListeningPort("worker$it") }
 
     private val relayProcesses = mutableListOf<LaunchedProcess>()
 
@@ -72,6 +93,18 @@
     /** Restarts a worker under its id at its address. Its first heartbeat comes 1.5 s after it listens again. */
     fun restartWorker(index: Int) = send("PUT", "http://127.0.0.1:$storePort/debug/workers/$index/restart")
 
+    /** Injects faults into all workers; an empty object ends them. Returns whether all responded. */
+    fun setWorkerFaults(faults: String): Boolean =
+        workerPorts.map { send("PUT", "http://127.0.0.1:$it/faults", faults)?.statusCode() }.all { it == HTTP_OK }
+
+    /** Index of the agent that owns the shard, by the record in the store; null if there is no owner. */
+    fun ownerIndex(): Int? = storedRecord("owner")?.let { Regex("\"instance\":\"instance-(\\d+)\"").find(it) }
+        ?.groupValues?.get(1)?.toInt()
+
+    /** Phase in the stored progress of a job; null if there is none. */
+    fun storedPhase(id: String): String? =
+        storedRecord("progress/$id")?.let { Regex("\"p\":\"([A-Za-z]+)\"").find(it) }?.groupValues?.get(1)
+
     fun runs(): RunReport =
         Json.decodeFromString(checkNotNull(send("GET", "http://127.0.0.1:$storePort/debug/runs")?.body()))
 
@@ -79,6 +112,10 @@
     fun submit(entry: Entry, id: String, runMillis: Int): Int? =
         call(entry, "POST", id, jobBody(runMillis))?.statusCode()
 
+    /** Submits a job with one task for each worker that runs until it is stopped. Returns as [submit] does. */
+    fun submitLongRunning(entry: Entry, id: String): Int? =
+        call(entry, "POST", id, longRunningBody(agents.size))?.statusCode()
+
     fun cancel(entry: Entry, id: String): Int? = call(entry, "DELETE", id)?.statusCode()
 
     /** Requests the number of waiting jobs. Returns the HTTP status, or null without a response. */
@@ -112,6 +149,13 @@
         )
     }
 
+    /** The record of shard 0 at [key] as text; null if there is none. */
+    private fun storedRecord(key: String): String? =
+        send("GET", "http://127.0.0.1:$storePort/v1/kv-key?key=camphorhall/0/$key")
+            ?.takeIf { it.statusCode() == HTTP_OK }
+            ?.let { Json.parseToJsonElement(it.body()).jsonObject.text("value") }
+            ?.let { Base64.getDecoder().decode(it).decodeToString() }
+
     private fun call(entry: Entry, method: String, id: String, body: String? = null): HttpResponse<String>? =
         send(method, "http://127.0.0.1:${entry.port}/jobs/$id", body)
 
@@ -138,5 +182,8 @@
 
         private fun jobBody(runMillis: Int) = """{"spec":"$runMillis","steps":[{"count":3,"cpu":500,"mem-mb":10},""" +
             """{"count":1,"cpu":500,"mem-mb":10,"after":[0]}]}"""
+
+        private fun longRunningBody(tasks: Int) = """{"spec":"-1","steps":[{"count":$tasks,"cpu":500,"mem-mb":10,""" +
+            """"long-running":true,"anti-affinity":1}]}"""
     }
 }
