Report any error that ends a series of process ends in the soak

An error other than IllegalStateException ended its series without failing the soak. Each series now reports any error.

--- a/e2e/src/test/kotlin/org/camphorhall/e2e/ProcessEnds.kt
+++ b/e2e/src/test/kotlin/org/camphorhall/e2e/ProcessEnds.kt
@@ -19,7 +19,13 @@
         { random -> endAgent(d.agents.random(random), random) },
         { random -> restartWorker(random) },
         { random -> changeStopFaults(random) },
-    ).mapIndexed { i, step -> thread { runSeries(Random(seed + i), step) } }
+    ).mapIndexed { i, step ->
+        val random = Random(seed + i)
+        thread(start = false) { while (!isClosed) step(random) }.also {
+            it.setUncaughtExceptionHandler { _, e -> failure = e }
+            it.start()
+        }
+    }
 
     override fun close() {
         isClosed = true
@@ -29,14 +35,6 @@
         failure?.let { throw IllegalStateException("a series of ends failed", it) }
     }
 
-    private fun runSeries(random: Random, step: (Random) -> Unit) {
-        try {
-            while (!isClosed) step(random)
-        } catch (e: IllegalStateException) {
-            failure = e
-        }
-    }
-
     private fun endOwner(random: Random) {
         pause(random, OWNER_PERIOD_MILLIS)
         d.ownerIndex()?.let { endAgent(d.agents[it], random) }
