Fuzz cancellations, failing jobs and long-running tasks

The fuzzer of the single run could not find it: no job of it failed or was cancelled, all tasks ended by themselves, and no rule said that the tasks of an ended job stop.

Change: jobs are finite, failing or long-running, some steps are gangs, and callers cancel jobs at any time, also twice and before the owner knows of the job. Owners learn of a cancellation by a notification that may be lost or reach a former owner, by their watch, or at their load. Ends and cancellations are often followed by a change of the owner or a disturbed path, and a stop carries a fencing token. From 12 s after the last fault on, no task may start 3 s, or run 3.9 s, after the end of its job was stored or its cancellation acknowledged. Jobs arrive more often, so that as many runs as before go into a budget.

--- a/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/Episode.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/Episode.kt
@@ -1,6 +1,5 @@
 package org.camphorhall.core.jobs.fuzz
 
-import org.camphorhall.core.jobs.ShardHarness
 import org.camphorhall.core.jobs.fuzz.OwnerModel.Companion.GRACE_MILLIS
 import org.camphorhall.core.jobs.fuzz.OwnerModel.Companion.STORE_LEASE_MILLIS
 
@@ -12,6 +11,7 @@
     private val paths = List(MACHINES) { WorkerPath(sim, it, sim.between(0, 21)) }
     private val agents = MutableList(MACHINES) { newAgent(it) }
     private var owner = acquire(0, GRACE_MILLIS, 10)
+    private var formerOwner = owner
     private var isAcquiring = false
     private val faultsUntil = sim.now + FAULT_MILLIS
     private val hasFaults get() = sim.now < faultsUntil
@@ -22,21 +22,58 @@
         repeat(sim.random.nextInt(2, 6)) { startSeries() }
         while (hasFaults) sim.step()
         endFaults()
+        sim.repeat(100, jitter = 10) { true.also { sim.oracle.checkStopped() } }
         val until = sim.now + QUIET_MILLIS
         while (sim.now < until && (store.unfinished.isNotEmpty() || sim.now < until - 20_000)) sim.step()
         if (store.unfinished.isNotEmpty()) throw RunViolation("jobs that did not end: ${store.unfinished}")
+        sim.oracle.checkStopped()
     }
 
     private fun newAgent(n: Int) = AgentModel(sim, store, paths[n], network).also { it.run() }
 
     private fun submitJobs() {
         if (!hasFaults) return
-        val steps = List(sim.random.nextInt(1, 3)) { i ->
-            ShardHarness.step(sim.random.nextInt(1, 4), after = if (i == 0) emptyList() else listOf(i - 1))
-        }
+        val kind = JobKind.random(sim)
         val id = "job-${store.jobs.size}"
-        store.jobs[id] = ShardHarness.record(steps, id, maxAttempts = 1_000)
-        sim.after(sim.between(300, 3_000), ::submitJobs)
+        store.jobs[id] = kind.newJob(sim, id)
+        when {
+            kind == JobKind.LongRunning -> cancelLater(id, faultsUntil - sim.now + CALM_CANCEL_MILLIS)
+            sim.chance(25) -> cancelLater(id, CANCEL_MILLIS)
+        }
+        sim.after(sim.between(300, 2_000), ::submitJobs)
+    }
+
+    /** Cancels a job once or twice within [maxMillis], often before the owner knows it or when the faults end. */
+    private fun cancelLater(job: String, maxMillis: Long) = repeat(if (sim.chance(30)) 2 else 1) {
+        val endOfFaults = minOf(maxMillis, faultsUntil - sim.now + 1)
+        val delay = when (sim.random.nextInt(4)) {
+            0 -> sim.between(0, SOON_MILLIS)
+            1 -> sim.between(0, minOf(maxMillis, CANCEL_MILLIS))
+            2 -> sim.between(maxOf(0, endOfFaults - CANCEL_MILLIS), endOfFaults)
+            else -> sim.between(0, maxMillis)
+        }
+        sim.after(delay) { cancel(job) }
+    }
+
+    /** Stores and acknowledges a cancellation. The notification of an owner may be lost or reach a former one. */
+    private fun cancel(job: String) {
+        sim.log { "cancellation of $job" }
+        store.cancelled += job
+        sim.oracle.recordJobEnd(job)
+        val notified = if (sim.chance(20)) formerOwner else owner
+        if (sim.chance(60)) sim.after(sim.between(0, 20)) { notified.cancel(job) }
+        if (sim.chance(50)) disturbStops()
+    }
+
+    private fun recordJobEnd(job: String) {
+        sim.oracle.recordJobEnd(job)
+        if (sim.chance(15)) disturbStops()
+    }
+
+    /** Changes the owner, or disturbs the way to workers, while the stops of a job that has ended may be under way. */
+    private fun disturbStops() {
+        val fault = listOf(::changeOwner, ::disturbPath, ::holdMessages).random(sim.random)
+        sim.after(sim.between(0, 150)) { if (hasFaults) fault() }
     }
 
     /** Repeats one kind of fault with gaps. */
@@ -161,6 +198,7 @@
         val hasResponse = network.isUp(last.address) && !isCutOff && sim.chance(70)
         if (hasResponse) last.close()
         val grace = if (sim.fault == PlantedFault.NoGrace) 0 else GRACE_MILLIS
+        formerOwner = last
         owner = acquire(address, grace, if (hasResponse || sim.chance(50)) 5 else 400)
         isAcquiring = false
         if (hasFaults && sim.chance(15)) sim.after(sim.between(50, 800)) { if (!isAcquiring) release() }
@@ -170,7 +208,7 @@
         store.epoch++
         store.revision++
         store.ownerAddress = address
-        val next = OwnerModel(sim, store, address, store.epoch)
+        val next = OwnerModel(sim, store, address, store.epoch, ::recordJobEnd)
         sim.log { "$address acquires epoch ${store.epoch}" }
         network.setOwner(next)
         sim.after(delay + sim.between(5, 300)) { next.load(graceMillis) }
@@ -183,11 +221,17 @@
         paths.forEach { it.mode = WorkerPath.Mode.Responsive }
         agents.forEach { it.cutUntil = 0 }
         owner.cutUntil = 0
+        sim.oracle.recordCalm()
     }
 
     private companion object {
         const val MACHINES = 3
         const val FAULT_MILLIS = 60_000L
         const val QUIET_MILLIS = 80_000L
+
+        /** Jobs are cancelled up to this long after their acceptance, or after the faults. */
+        const val SOON_MILLIS = 150L
+        const val CANCEL_MILLIS = 8_000L
+        const val CALM_CANCEL_MILLIS = 20_000L
     }
 }
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/LinkModel.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/LinkModel.kt
@@ -118,12 +118,12 @@
             return
         }
         val sentToken = token
-        val duration = if (sim.chance(75)) sim.between(200, 6_000) else sim.between(6_000, 12_000)
+        val work = JobKind.valueOf(command.payload).newWork(sim)
         var isStarted = false
         path.call(
             worker,
             800,
-            { isStarted = it.start(command.task, command.attempt, until, sentToken, duration) },
+            { isStarted = it.start(command.task, command.attempt, until, sentToken, work) },
             { 0 },
             { isStarted },
         ) { result ->
@@ -169,10 +169,18 @@
 
     private fun stop(command: WorkerCommand.Stop, tries: Int, isCancelled: () -> Boolean, onDone: () -> Unit) {
         val delay = sim.between(0, 600)
-        path.call(worker, 800, { it.stop(command.task, command.attempt, delay) }, { 0 }, {}) { result ->
+        val sentToken = token
+        var isStopped = false
+        path.call(
+            worker,
+            800,
+            { isStopped = it.stop(command.task, command.attempt, sentToken, delay) },
+            { 0 },
+            { isStopped },
+        ) { result ->
             when {
                 isClosed || isCancelled() -> Unit
-                result is CallResult.Response || tries == 1 -> onDone()
+                result is CallResult.Response && result.value || tries == 1 -> onDone()
                 else -> sim.after(50) { stop(command, tries - 1, isCancelled, onDone) }
             }
         }
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/OwnerModel.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/OwnerModel.kt
@@ -7,6 +7,7 @@
 import org.camphorhall.core.jobs.ProgressRecord
 import org.camphorhall.core.jobs.ShardOutput
 import org.camphorhall.core.jobs.StoredJob
+import org.camphorhall.core.jobs.TaskRef
 import org.camphorhall.core.jobs.WorkerCommand
 import org.camphorhall.core.jobs.WorkerReport
 
@@ -23,11 +24,20 @@
 internal class StoreRecords {
     val jobs = LinkedHashMap<String, JobRecord>()
     val progress = HashMap<String, Pair<ProgressRecord, Long>>()
+
+    /** Ids of the cancelled jobs, in the order of the cancellations. */
+    val cancelled = LinkedHashSet<String>()
     var epoch = 0L
     var ownerAddress = 0
     var revision = 0L
 
-    val unfinished: List<String> get() = jobs.keys.filterNot { progress[it]?.first?.phase == JobPhase.Completed }
+    /** Jobs that have not ended as their kind and their cancellation allow. */
+    val unfinished: List<String>
+        get() = jobs.values.filterNot { job ->
+            val phase = progress[job.id]?.first?.phase
+            phase in JobKind.valueOf(job.spec.payload).finalPhases ||
+                phase == JobPhase.Cancelled && job.id in cancelled
+        }.map { it.id }
 }
 
 /** One ownership of the shard, as in `ShardOwner` and `Ownership`. */
@@ -36,10 +46,16 @@
     private val store: StoreRecords,
     val address: Int,
     val epoch: Long,
+    private val onJobEnded: (String) -> Unit,
 ) {
     private val shard = JobShard()
     private val connections = LinkedHashMap<Long, ConnectionModel>()
     private val early = mutableListOf<() -> Unit>()
+    private val stopped = HashSet<Pair<TaskRef, Int>>()
+    private var endedBeforeLoad = emptySet<String>()
+
+    /** Number of cancellations that the owner has read from the store. */
+    private var readCancellations = 0
     private var isLoaded = false
     private var isWriting = false
     var isClosed = false
@@ -61,16 +77,19 @@
 
     fun load(graceMillis: Long) {
         if (isClosed) return
+        val ignoresCancellations = sim.fault == PlantedFault.EarlierCancellationsIgnored
         val stored = store.jobs.values.map {
             val progress = store.progress[it.id]
-            StoredJob(it, progress?.first, progress?.second ?: 0, cancelled = false)
+            StoredJob(it, progress?.first, progress?.second ?: 0, it.id in store.cancelled && !ignoresCancellations)
         }
+        readCancellations = store.cancelled.size
+        endedBeforeLoad = store.progress.filterValues { it.first.phase.isFinal }.keys.toSet()
         shard.recover(stored, sim.now + graceMillis + LEASE_MILLIS + 250, sim.now)
         sim.log { "owner $epoch at $address loaded, grace $graceMillis" }
         isLoaded = true
         early.forEach { it() }
         early.clear()
-        sim.repeat(100, jitter = 10) { !isClosed.also { if (!it) tick() } }        
+        sim.repeat(100, jitter = 10) { !isClosed.also { if (!it) tick() } }
     }
 
     fun close() {
@@ -84,6 +103,16 @@
         if (isLoaded) action() else early += action
     }
 
+    /** Notifies the owner that a cancellation of [job] was stored. */
+    fun cancel(job: String) {
+        if (isClosed) return
+        val action = {
+            shard.cancel(job, sim.now)
+            placeAndCommit()
+        }
+        if (isLoaded) action() else early += action
+    }
+
     fun detach(connection: ConnectionModel) {
         if (isClosed) return
         val action = {
@@ -110,7 +139,11 @@
     }
 
     private fun tick() {
-        store.jobs.values.takeIf { sim.now >= cutUntil }?.forEach { shard.accept(it, sim.now) }
+        if (sim.now >= cutUntil) {
+            store.jobs.values.forEach { shard.accept(it, sim.now) }
+            store.cancelled.drop(readCancellations).forEach { shard.cancel(it, sim.now) }
+            readCancellations = store.cancelled.size
+        }
         shard.tick(sim.now)
         placeAndCommit()
     }
@@ -137,7 +170,11 @@
         val isWritten = store.epoch == epoch
         if (isWritten) {
             store.revision++
-            commit.writes.forEach { store.progress[it.job] = it.record to store.revision }
+            for (w in commit.writes) {
+                val wasFinal = store.progress[w.job]?.first?.phase?.isFinal ?: false
+                store.progress[w.job] = w.record to store.revision
+                if (w.record.phase.isFinal && !wasFinal) onJobEnded(w.job)
+            }
         }
         val revision = store.revision
         sim.after(sim.between(1, 30)) {
@@ -156,7 +193,7 @@
         val ends = LinkedHashMap<Long, Long>()
         for (o in shard.takeOutputs()) {
             when (o) {
-                is ShardOutput.Send -> commands.getOrPut(o.session) { mutableListOf() } += o.command
+                is ShardOutput.Send -> commands.getOrPut(o.session) { mutableListOf() } += sentFor(o.command)
                 is ShardOutput.AcknowledgeEnds -> ends[o.session] = o.number
                 is ShardOutput.LogEvent -> sim.log {
                     "owner $epoch: ${o.event} ${o.task ?: ""} ${o.attempt ?: ""} ${o.worker ?: ""} ${o.detail ?: ""}"
@@ -169,6 +206,17 @@
         }
     }
 
+    /** The command that is sent for [command]: an ineffective one with its number if a planted fault omits it. */
+    private fun sentFor(command: WorkerCommand): WorkerCommand {
+        if (command !is WorkerCommand.Stop) return command
+        val isOmitted = when (sim.fault) {
+            PlantedFault.EndedJobsUnstopped -> command.task.job in endedBeforeLoad
+            PlantedFault.StopsNotRepeated -> !stopped.add(command.task to command.attempt)
+            else -> false
+        }
+        return if (isOmitted) command.copy(attempt = 0) else command
+    }
+
     companion object {
         const val LEASE_MILLIS = 3_000L
         const val GRACE_MILLIS = 3_000L
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/PlantedFault.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/PlantedFault.kt
@@ -28,4 +28,13 @@
 
     /** The agent takes a list of ends for complete that its worker has cut. */
     CutListIsComplete,
+
+    /** A new owner sends no stop for attempts of jobs that had ended when it loaded the shard. */
+    EndedJobsUnstopped,
+
+    /** A new owner ignores the cancellations that were stored before it loaded the shard. */
+    EarlierCancellationsIgnored,
+
+    /** An owner stops each attempt once and does not repeat the stop. */
+    StopsNotRepeated,
 }
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/WorkerModel.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/fuzz/WorkerModel.kt
@@ -10,7 +10,9 @@
 /** One incarnation of a worker, whose clock is [slowPerMille] slow. It records its own runs. */
 internal class WorkerModel(private val sim: Simulation, n: Int, startedAt: Long, private val slowPerMille: Long) {
     /** A run of one attempt. */
-    inner class Run(val task: TaskRef, val attempt: Int, val startedAt: Long, val doneAt: Long) {
+    inner class Run(val task: TaskRef, val attempt: Int, val startedAt: Long, work: Work) {
+        val doneAt = startedAt + work.millis
+        val cause = work.cause
         var stopAt = Long.MAX_VALUE
 
         override fun toString() = "$task attempt $attempt on ${profile.key} (from $startedAt, lease to $leaseUntil)"
@@ -45,13 +47,13 @@
 
     private fun clock(at: Long = sim.now): Long = 1 + (at - bornAt) * (1_000 - slowPerMille) / 1_000
 
-    /** Ends the runs that were done or stopped, or whose lease has ended. */
+    /** Ends the runs that were done, failed or stopped, or whose lease has ended. */
     fun settle() {
         for (r in running.toList()) {
             val endsAt = minOf(r.doneAt, r.stopAt)
             val cause = when {
                 endsAt <= sim.now && clock(endsAt) < leaseUntil ->
-                    if (r.doneAt <= r.stopAt) EndCause.Done else EndCause.Stopped
+                    if (r.doneAt <= r.stopAt) r.cause else EndCause.Stopped
                 clock() >= leaseUntil -> EndCause.LeaseExpired
                 else -> continue
             }
@@ -65,21 +67,23 @@
     }
 
     /** Starts an attempt. Returns false if [token] is too low. */
-    fun start(task: TaskRef, attempt: Int, until: Long, token: Long, duration: Long): Boolean {
+    fun start(task: TaskRef, attempt: Int, until: Long, token: Long, work: Work): Boolean {
         if (!accept(token, until)) return false
         if (clock() >= leaseUntil) return false
         if (!known.add(task to attempt)) return true
-        val run = Run(task, attempt, sim.now, sim.now + duration)
+        val run = Run(task, attempt, sim.now, work)
         sim.log { "start $run" }
         sim.oracle.checkStart(run)
         running += run
         return true
     }
 
-    fun stop(task: TaskRef, attempt: Int, delay: Long) {
-        settle()
+    /** Stops an attempt after [delay]. Returns false if [token] is too low. */
+    fun stop(task: TaskRef, attempt: Int, token: Long, delay: Long): Boolean {
+        if (!accept(token, 0)) return false
         running.filter { it.task == task && it.attempt == attempt }
             .forEach { it.stopAt = minOf(it.stopAt, sim.now + delay) }
+        return true
     }
 
     /** Extends the lease and forgets the ends up to [lastSeenEnd]. Returns false if [token] is too low. */
