--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedTask.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedTask.kt
@@ -82,9 +82,9 @@
         this.percent = percent
     }
 
-    /** Records the reported share of a backfill task; null if unknown. */
+    /** Records the reported share; null if unknown, which says nothing about a task without shares. */
     fun recordShare(percent: Int?) {
-        if (!spec.backfill) return
+        if (percent == null && !spec.backfill) return
         share = percent
         if (percent == null || percent < MIN_UNTHROTTLED_SHARE) wasThrottled = true
     }
