--- a/core/src/test/kotlin/org/camphorhall/core/jobs/JobExpiryTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/JobExpiryTest.kt
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isNotNull
 
@@ -31,4 +32,22 @@
         h.shard.committed(checkNotNull(commit), revision = 9, h.now)
         expectThat(h.shard.expire(h.now)).containsExactly(JOB)
     }
+
+    /** Guards against an expired job that its owner takes for new while its records are not deleted yet. */
+    @Test
+    fun `a job that expired is not accepted again while its records are left`() {
+        val h = ShardHarness()
+        val job = record(listOf(step(1)))
+        h.report(1)
+        h.shard.accept(job, h.now)
+        h.settle()
+        val start = h.starts.single().second
+        h.report(1, running = emptyList(), ended = listOf(end(1, start, EndCause.Done)))
+        h.now += JobShardSettings().retentionMillis + 1_000
+        expectThat(h.shard.expire(h.now)).containsExactly(JOB)
+        h.report(1, running = emptyList())
+        h.shard.accept(job, h.now)
+        h.settle()
+        expectThat(h.starts).hasSize(1)
+    }
 }
