--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -33,6 +33,7 @@
 
         /** Tail latency of a task that serves in milliseconds, otherwise the processors in use. */
         final long load;
+        final boolean serves;
         volatile long endedAt = -1;
         volatile String end;
 
@@ -47,7 +48,8 @@
             fills = words.contains("fills");
             lasts = words.contains("lasts");
             gang = figure(words, "gang", 0);
-            load = words.contains("serves") ? figure(words, "tail", 10) : cpu;
+            serves = words.contains("serves");
+            load = serves ? figure(words, "tail", 10) : cpu;
         }
 
         private static long figure(List<String> words, String name, long other) {
@@ -67,6 +69,9 @@
     /** While set, the worker fails all that it runs, each run after that many milliseconds of work. */
     volatile long failsAfterMillis = -1;
 
+    /** Load of the tasks that serve, in percent of the usual one; their tail latency is in proportion to it. */
+    volatile long loadPercent = 100;
+
     private final Trace trace;
     private final Gangs gangs;
     private final String service;
@@ -298,7 +303,8 @@
         for (Run r : running.values()) {
             long percent =
                 r.lasts ? 100 : Math.max(0, Math.min(99, worked(r, Trace.millis()) * 100 / Math.max(1, r.millis)));
-            runs.add(List.of(r.task, r.number, "", percent, r.load));
+            long load = r.serves ? r.load * loadPercent / 100 : r.load;
+            runs.add(List.of(r.task, r.number, "", percent, load));
         }
         List<Object> ends = new ArrayList<>();
         for (End e : ended.subList(0, Math.min(ENDS_PER_LIST, ended.size()))) {
