Evacuate failure domains, and take the platform's bounds from the settings

Cause: operators ask for a zone to get no new tasks by a key of the store that nothing read. Of the platform's bounds only two were settings.

Change: an owner watches the requests and starts nothing in an evacuated failure domain: when it places, when it moves and when it sends a start whose record was being written. It starts nothing at all without a state that is recent enough for the bound, which the lease of the workers completes. On only where the settings state evacuationMillis. Stop, restore and status times and the age of a configuration follow the platform's bounds, and derived times are computed in one place.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
@@ -20,7 +20,8 @@
 
     /** Ids of the jobs whose records are being written. */
     private var committing: Set<String> = emptySet()
-    private val scheduling = TaskScheduling(settings, BackfillForecast(state.interference))
+    private val scheduling =
+        TaskScheduling(settings, BackfillForecast(state.interference), allowStart = state.evacuations::allowStart)
     private val reports = ReportHandling(state, settings)
     private val moves = TaskMoves(state, settings, scheduling)
 
@@ -32,6 +33,23 @@
         state.classes = classes
     }
 
+    /**
+     * Replaces the failure [domains] whose workers get no tasks, as they were at [currentAt]. Without a recent state no
+     * task starts, if the settings say that the platform has evacuations.
+     */
+    public fun evacuate(domains: Set<String>, currentAt: Long) {
+        val earlier = state.evacuations.domains
+        state.evacuations.update(domains, currentAt)
+        (domains - earlier).forEach { logEvacuation("failure domain evacuated", it) }
+        (earlier - domains).forEach { logEvacuation("failure domain in use again", it) }
+    }
+
+    private fun logEvacuation(event: String, domain: String) {
+        val workers = workers.values.filter { it.profile.failureDomain == domain }
+        val tasks = workers.sumOf { it.assigned.size }
+        state.logEvent(event, detail = "$domain: ${workers.size} workers, $tasks assigned tasks")
+    }
+
     /**
      * Restores the [stored] jobs after this process became the owner. Attempts on a worker that does not report are
      * assumed to run until [leasesEndAt].
@@ -98,6 +116,7 @@
             backfillCpuMillis = usable.sumOf { it.backfillCpu },
             unsavedJobs = unsaved.size,
             fitChecks = scheduling.fitChecks,
+            evacuatedWorkers = usable.count { !state.evacuations.allowStart(it, now) },
         )
     }
 
@@ -197,7 +216,8 @@
         val w = t.worker?.let(workers::get) ?: return
         if (t.attempt != o.attempt || t.startCommand != null) return
         val session = w.session
-        if (session == null || !w.hasReported || w.profile.draining || job.phase.isFinal) {
+        val mayStart = w.hasReported && !w.profile.draining && state.evacuations.allowStart(w, now)
+        if (session == null || !mayStart || job.phase.isFinal) {
             // No start command was sent, so the attempt is guaranteed not to run.
             state.unassign(w, t)
             unsaved += job.record.id
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/ShardState.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ShardState.kt
@@ -12,6 +12,7 @@
     val unsaved = LinkedHashSet<String>()
     val outputs = mutableListOf<ShardOutput>()
     val interference = InterferenceModel()
+    val evacuations = Evacuations(settings.maxEvacuationAgeMillis)
 
     /** Configured classes of work by id; null before the first configuration. */
     var classes: Map<String, JobClass>? = null
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/ShardSummary.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ShardSummary.kt
@@ -14,4 +14,6 @@
     val unsavedJobs: Int,
     /** Checks whether a waiting task fits on a worker, counted since the shard was loaded: the cost of placement. */
     val fitChecks: Long,
+    /** Usable workers that get no tasks, because their failure domain is evacuated or the state is not recent. */
+    val evacuatedWorkers: Int = 0,
 )
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TaskMoves.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TaskMoves.kt
@@ -70,7 +70,7 @@
 
     private fun moveStragglers(w: TrackedWorker, now: Long) {
         if (!w.canTakeWork(now, settings.reportTimeoutMillis)) return
-        val slow = Stragglers.find(w, { state.jobs[it.ref.job]?.step(it.ref) }, now)
+        val slow = Stragglers.find(w, { state.jobs[it.ref.job]?.step(it.ref) }, now, settings.restoreMillis)
         if (slow.isEmpty()) return
         w.health.recordSlow(now)
         for (t in slow) {
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TaskScheduling.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TaskScheduling.kt
@@ -8,6 +8,8 @@
     private val settings: JobShardSettings,
     private val forecast: BackfillForecast,
     private val policy: PlacementPolicy = interferenceAwarePlacement(forecast),
+    /** Whether the operators allow starts on a worker at a time. */
+    private val allowStart: (worker: TrackedWorker, now: Long) -> Boolean = { _, _ -> true },
 ) {
     /** Number of checks whether a waiting task fits on a worker. */
     var fitChecks = 0L
@@ -21,7 +23,7 @@
         now: Long,
         wallMillis: Long,
     ): List<TrackedTask> {
-        val usable = workers.filter { it.canTakeWork(now, settings.reportTimeoutMillis) }
+        val usable = workers.filter { mayTakeTasks(it, now) }
         if (usable.isEmpty()) return emptyList()
         val healthStateOf = healthStatesOf(usable, now)
         val placed = mutableListOf<TrackedTask>()
@@ -97,7 +99,7 @@
      * checkpoint are moved, and at most one per target worker at a time.
      */
     fun throttledBackfill(workers: Collection<TrackedWorker>, now: Long): List<TrackedTask> {
-        val usable = workers.filter { it.canTakeWork(now, settings.reportTimeoutMillis) }
+        val usable = workers.filter { mayTakeTasks(it, now) }
         val healthStateOf = healthStatesOf(usable, now)
         val targets = usable.filter { healthStateOf(it) == WorkerHealthState.Healthy }.toMutableList()
         return workers.flatMap { it.assigned.values }
@@ -109,6 +111,9 @@
             .filter { t -> targets.remove(betterWorker(t, targets)) }
     }
 
+    private fun mayTakeTasks(w: TrackedWorker, now: Long): Boolean =
+        w.canTakeWork(now, settings.reportTimeoutMillis) && allowStart(w, now)
+
     private fun betterWorker(t: TrackedTask, workers: List<TrackedWorker>): TrackedWorker? =
         workers.filter { it.key != t.worker && hasFreeCapacity(t, it) }
             .map { it to forecast.share(t, it) }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/SchedulerAgent.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/agent/SchedulerAgent.kt
@@ -14,7 +14,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import org.camphorhall.core.jobs.JobShardSettings
+import org.camphorhall.platform.fleet.fleetEvacuations
 import org.camphorhall.platform.fleet.fleetOperatorConfig
 import org.camphorhall.platform.fleet.fleetStore
 import org.camphorhall.platform.fleet.fleetTaskWorker
@@ -35,6 +35,7 @@
 import org.camphorhall.scheduler.peer.PeerSockets
 import org.camphorhall.scheduler.peer.PeerServer
 import org.camphorhall.scheduler.support.ConfigWatcher
+import org.camphorhall.scheduler.support.EvacuationWatcher
 import org.camphorhall.scheduler.support.JobRecordStore
 import org.camphorhall.scheduler.support.OwnerClient
 import org.camphorhall.scheduler.support.OwnerFinder
@@ -104,10 +105,8 @@
         OwnerClient(sockets, scope),
         finder,
         config = { onChange -> ConfigWatcher(fleetOperatorConfig(store), clock, onChange).run() },
-        JobShardSettings(
-            maxWorkerLeaseMillis = options.maxLeaseMillis,
-            crossRackFactor = options.crossRackFactor,
-        ),
+        options.shardSettings(),
+        evacuations = { onUpdate -> EvacuationWatcher(fleetEvacuations(store), clock, onUpdate).run() },
     )
     private val service = SchedulerService(
         JobRecordStore(store, options.shards),
@@ -132,6 +131,16 @@
         bindOrThrow { peers.start() }
         bindOrThrow { http.start(wait = false) }
         logger.event(Level.INFO, "agent started", "instance" to options.instance, "shards" to options.shards)
+        logger.event(
+            Level.INFO,
+            "bounds of the platform in force",
+            "maxLeaseMillis" to options.maxLeaseMillis,
+            "crossRackFactor" to options.crossRackFactor,
+            "stopTimeoutMillis" to options.stopTimeoutMillis,
+            "restoreMillis" to options.restoreMillis,
+            "jobStatusSeconds" to options.jobStatusSeconds,
+            "evacuationMillis" to (options.evacuationMillis ?: "none"),
+        )
     }
 
     private fun countStoreCall(call: StoreCall) = storeCalls.increment(call.name)
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerEntry.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerEntry.kt
@@ -66,7 +66,7 @@
         clock = clock,
         metrics = IntakeMetrics(metrics),
         writer = RecordWriter(clock),
-        isConfigFresh = { clock.steady() - config.lastReadAt < MAX_CONFIG_AGE_MILLIS },
+        isConfigFresh = { clock.steady() - config.lastReadAt < options.maxConfigAgeMillis },
     )
     private val server = httpServer(
         mapOf(
@@ -114,9 +114,6 @@
         /** A watch of the configuration lasts 0.9 s, with 0.8 s more for the response. */
         const val MAX_STORE_SILENCE_MILLIS = 2_000L
 
-        /** Operators allow 2 s for a change to apply, and 5 s more while the store is unavailable to some processes. */
-        const val MAX_CONFIG_AGE_MILLIS = 7_000L
-
         /** The balancer checks readiness once a second and removes an entry after two failed checks. */
         val READINESS_DELAY = 2_200.milliseconds
 
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerEntryOptions.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerEntryOptions.kt
@@ -19,7 +19,19 @@
     val store: String,
     /** Number of shards of the deployment; must be the same in all processes. */
     val shards: Int = 1,
-)
+    /** Time from the acknowledgement of a configuration within which it applies, in milliseconds. */
+    val configApplyMillis: Long = DEFAULT_CONFIG_APPLY_MILLIS,
+    /** How much longer that may take while the store is unavailable to some processes, in milliseconds. */
+    val configStretchMillis: Long = DEFAULT_CONFIG_STRETCH_MILLIS,
+) {
+    /** Age from which a configuration may no longer be treated as the newest one, in milliseconds. */
+    val maxConfigAgeMillis: Long get() = configApplyMillis + configStretchMillis
+
+    companion object {
+        const val DEFAULT_CONFIG_APPLY_MILLIS = 2_000L
+        const val DEFAULT_CONFIG_STRETCH_MILLIS = 5_000L
+    }
+}
 
 internal fun checkEntryOptions(o: SchedulerEntryOptions): List<SettingsProblem> = checkSettings {
     notBlank("instance", o.instance)
@@ -28,4 +40,6 @@
     address("metrics", o.metrics)
     address("store", o.store)
     range("shards", o.shards, 1..4_096)
+    range("configApplyMillis", o.configApplyMillis, 1L..600_000L)
+    range("configStretchMillis", o.configStretchMillis, 0L..600_000L)
 }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/OwnerEvent.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/OwnerEvent.kt
@@ -7,6 +7,7 @@
 import org.camphorhall.scheduler.protocol.AgentMessage
 import org.camphorhall.scheduler.protocol.OwnerRequest
 import org.camphorhall.scheduler.protocol.OwnerResponse
+import org.camphorhall.scheduler.support.EvacuationState
 
 /** Events that the loop of [ShardOwner] handles one at a time. */
 internal sealed interface OwnerEvent {
@@ -20,6 +21,8 @@
 
     class Configured(val config: OperatorConfig) : OwnerEvent
 
+    class Evacuated(val state: EvacuationState) : OwnerEvent
+
     /** [revision] is the revision of the written records, or null if the shard has another owner. */
     class Written(val commit: Commit, val revision: Long?) : OwnerEvent
 
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardCandidate.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardCandidate.kt
@@ -11,6 +11,7 @@
 import org.camphorhall.platform.store.TransactionalStore
 import org.camphorhall.process.event
 import org.camphorhall.scheduler.support.Clock
+import org.camphorhall.scheduler.support.EvacuationState
 import org.camphorhall.scheduler.support.OwnerClient
 import org.camphorhall.scheduler.support.OwnerFinder
 import org.camphorhall.scheduler.support.ShardKeys
@@ -35,6 +36,8 @@
     private val finder: OwnerFinder,
     private val config: suspend (onChange: (OperatorConfig) -> Unit) -> Unit,
     private val settings: JobShardSettings = JobShardSettings(),
+    /** Watches the evacuations until cancelled; called only if the [settings] say that the platform has them. */
+    private val evacuations: suspend (onUpdate: (EvacuationState) -> Unit) -> Unit = {},
 ) {
     private val ownership by lazy { Ownership(ownershipStore.value, keys, instance, address, clock) }
 
@@ -78,8 +81,11 @@
                 val renewalJob = launch(ownershipDispatcher.value) { renewOwnership(shard) }
                 val configJob = launch { config { shard.send(OwnerEvent.Configured(it)) } }
                 val resignationJob = launch { requestResignation() }
+                val evacuationJob = launch {
+                    if (settings.evacuationMillis != null) evacuations { shard.send(OwnerEvent.Evacuated(it)) }
+                }
                 shard.run(ownership.predecessorGraceMillis)
-                listOf(renewalJob, configJob, resignationJob).forEach { it.cancel() }
+                listOf(renewalJob, configJob, resignationJob, evacuationJob).forEach { it.cancel() }
             }
         } finally {
             shard.successor?.let(finder::update)
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
@@ -198,6 +198,7 @@
             "backfillCpuMillis" to s.backfillCpuMillis,
             "unsavedJobs" to s.unsavedJobs,
             "fitChecks" to s.fitChecks,
+            "evacuatedWorkers" to s.evacuatedWorkers.takeIf { it > 0 },
             "mayGrant" to ownership.mayGrantLeases,
         )
     }
@@ -219,6 +220,7 @@
                 healthPaths = e.config.healthPaths
                 shard.configure(e.config.classes)
             }
+            is OwnerEvent.Evacuated -> shard.evacuate(e.state.domains, e.state.currentAt)
             is OwnerEvent.Written -> handleWritten(e, now)
             OwnerEvent.Summarize -> logSummary(shard.summary(now))
             OwnerEvent.Tick -> {
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/AgentTemplateTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/agent/AgentTemplateTest.kt
@@ -1,5 +1,6 @@
 package org.camphorhall.scheduler.agent
 
+import org.camphorhall.core.jobs.JobShardSettings
 import org.camphorhall.process.parseSettings
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -22,9 +23,47 @@
 
     /** Fills the template as DEPLOY describes it: inverted sections, then values. */
     private fun fill(values: Map<String, String>): String {
-        val inverted = Regex("\\{\\{\\^([a-z0-9.-]+)}}(.*?)\\{\\{/\\1}}", RegexOption.DOT_MATCHES_ALL)
+        val inverted = Regex("\\{\\{\\^([a-z0-9._-]+)}}(.*?)\\{\\{/\\1}}", RegexOption.DOT_MATCHES_ALL)
         return template.replace(inverted) { if (it.groupValues[1] in values) "" else it.groupValues[2] }
-            .replace(Regex("\\{\\{([a-z0-9.-]+)(\\|json)?}}")) { values[it.groupValues[1]].orEmpty() }
+            .replace(Regex("\\{\\{([a-z0-9._-]+)(\\|json)?}}")) { values[it.groupValues[1]].orEmpty() }
+    }
+
+    /** Further bounds with their settings, each stated alone, and one value that is invalid. */
+    private val furtherBounds: List<FurtherBound> = listOf(
+        FurtherBound("bounds.stop-timeout-ms", "400", "0", "stopTimeoutMillis") { it.stopTimeoutMillis },
+        FurtherBound("bounds.restore-ms", "250", "-1", "restoreMillis") { it.restoreMillis },
+        FurtherBound("bounds.status_s", "300", "0", "jobStatusSeconds") { it.jobStatusSeconds },
+        FurtherBound("bounds.evacuate-ms", "5000", "2000", "evacuationMillis") { it.evacuationMillis },
+    )
+
+    private class FurtherBound(
+        val field: String,
+        val valid: String,
+        val invalid: String,
+        val path: String,
+        val valueIn: (SchedulerAgentOptions) -> Long?,
+    )
+
+    private fun parse(text: String) = parseSettings(text, SchedulerAgentOptions.serializer(), ::checkAgentOptions)
+
+    /** Guards against an agent that goes on with the bounds of another deployment. */
+    @Test
+    fun `each further bound reaches its setting and is checked`() {
+        for (b in furtherBounds) {
+            val valid = parse(fill(fields + (b.field to b.valid))).getOrNull()
+            expectThat(valid?.let(b.valueIn)).describedAs(b.field).isEqualTo(b.valid.toLong())
+            val problems = parse(fill(fields + (b.field to b.invalid))).leftOrNull()?.map { it.path }
+            expectThat(problems).describedAs(b.field).isEqualTo(listOf(b.path))
+        }
+        val shard = parse(fill(fields + furtherBounds.associate { it.field to it.valid })).getOrNull()?.shardSettings()
+        expectThat(shard).isEqualTo(
+            JobShardSettings(
+                maxStopMillis = 400,
+                restoreMillis = 250,
+                retentionMillis = 330_000,
+                evacuationMillis = 5_000,
+            ),
+        )
     }
 
     /** The settings for the longest lease and the factor, or the paths of invalid ones. */
