Order jobs by the room that they need, and turn away what would be useless

Cause: priority and deadline alone order the queue, so that under overload every job of a class ends a little too late, and a job that cannot be useful any more is accepted and waits. A new owner took all loaded jobs for new ones.

Change: within a priority, jobs that need the most room are deferred where others would miss their targets. Entries forecast from the load that owners add to their responses whether a new job can end while it is useful, and answer 429 with a Retry-After otherwise; never for a job that is stored. A new owner keeps the time of acceptance.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobPriority.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobPriority.kt
@@ -1,28 +1,22 @@
 package org.camphorhall.core.jobs
 
+/** A job and its place among the jobs that need room. */
+internal class RankedJob(val job: TrackedJob, val demand: JobDemand, val rank: RoomRank)
+
 /**
- * Sorts jobs by the priority of their class, then by lateness, then by deadline. Jobs that can still meet their target
+ * Sorts jobs by the priority of their class, then by [RoomRank], then by deadline. Jobs that can still meet their target
  * precede those that cannot, so that an overload delays some jobs rather than all; jobs whose result has become useless
- * come last.
+ * come last. [room] is the CPU that they share, in thousandths of a core.
  */
-internal fun List<TrackedJob>.sortedByPriority(now: Long, priorityOf: (TrackedJob) -> Int): List<TrackedJob> =
-    map { RankedJob(it, priorityOf(it), latenessOf(it, now), it.deadline()) }.sortedWith(rankComparator).map { it.job }
-
-private class RankedJob(val job: TrackedJob, val priority: Int, val lateness: Lateness, val deadline: Long)
-
-private val rankComparator = compareBy<RankedJob>({ it.priority }, { it.lateness }, { it.deadline })
-
-private enum class Lateness { OnTime, Late, TooLate }
-
-private fun latenessOf(job: TrackedJob, now: Long): Lateness {
-    val target = job.deadline() - job.arrivedAt
-    val end = now + job.remainingCriticalPathMillis()
-    return when {
-        end <= job.deadline() -> Lateness.OnTime
-        end <= job.arrivedAt + target * MAX_USEFUL_TARGETS -> Lateness.Late
-        else -> Lateness.TooLate
-    }
+internal fun List<TrackedJob>.sortedByPriority(
+    now: Long,
+    room: Long,
+    rank: RoomRanking = ::rankByRoom,
+    priorityOf: (TrackedJob) -> Int,
+): List<RankedJob> {
+    val demands = map { it.demand(priorityOf(it)) }
+    val ranks = rank(demands, room, now)
+    return indices.map { RankedJob(this[it], demands[it], ranks[it]) }.sortedWith(rankComparator)
 }
 
-/** A result that takes longer than this multiple of the target is of no use to the operators. */
-private const val MAX_USEFUL_TARGETS = 3
+private val rankComparator = compareBy<RankedJob>({ it.demand.priority }, { it.rank }, { it.demand.deadline })
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
@@ -9,7 +9,9 @@
  *
  * Not thread-safe. Times are in milliseconds of one monotonic clock.
  */
-public class JobShard(private val settings: JobShardSettings = JobShardSettings()) {
+public class JobShard internal constructor(private val settings: JobShardSettings, rankByRoom: RoomRanking) {
+    public constructor(settings: JobShardSettings = JobShardSettings()) : this(settings, ::rankByRoom)
+
     private val state = ShardState(settings)
     private val jobs = state.jobs
     private val workers = state.workers
@@ -21,7 +23,12 @@
     /** Ids of the jobs whose records are being written. */
     private var committing: Set<String> = emptySet()
     private val scheduling =
-        TaskScheduling(settings, BackfillForecast(state.interference), allowStart = state.evacuations::allowStart)
+        TaskScheduling(
+            settings,
+            BackfillForecast(state.interference),
+            rankByRoom = rankByRoom,
+            allowStart = state.evacuations::allowStart,
+        )
     private val reports = ReportHandling(state, settings)
     private val moves = TaskMoves(state, settings, scheduling)
 
@@ -52,11 +59,14 @@
 
     /**
      * Restores the [stored] jobs after this process became the owner. Attempts on a worker that does not report are
-     * assumed to run until [leasesEndAt].
+     * assumed to run until [leasesEndAt]. With [wallMillis], in milliseconds since 1970, jobs keep the time at which they
+     * were accepted, so that those which have waited too long do not take the room of later ones.
      */
-    public fun recover(stored: List<StoredJob>, leasesEndAt: Long, now: Long) {
+    public fun recover(stored: List<StoredJob>, leasesEndAt: Long, now: Long, wallMillis: Long? = null) {
+        state.completeFrom = now + settings.grantedLeaseMillis
         for (s in stored) {
-            val job = TrackedJob(s.record, now)
+            val age = wallMillis?.let { (it - s.record.acceptedAtMillis).coerceIn(0, settings.retentionMillis) } ?: 0
+            val job = TrackedJob(s.record, now - age)
             jobs[s.record.id] = job
             job.revision = s.progressRevision
             val invalidRows = s.progress?.let(job::restore).orEmpty()
@@ -116,6 +126,7 @@
             backfillCpuMillis = usable.sumOf { it.backfillCpu },
             unsavedJobs = unsaved.size,
             fitChecks = scheduling.fitChecks,
+            deferredJobs = scheduling.ranked.count { it.rank == RoomRank.Deferred && !it.job.phase.isFinal },
             evacuatedWorkers = usable.count { !state.evacuations.allowStart(it, now) },
         )
     }
@@ -151,6 +162,7 @@
     public fun place(now: Long, wallMillis: Long) {
         val active = jobs.values.filter { !it.phase.isFinal }
         val assigned = scheduling.place(active, workers.values, state::currentClass, now, wallMillis)
+        scheduling.ranked.filter { it.rank == RoomRank.Deferred && !it.job.wasDeferred }.forEach { logDeferral(it, now) }
         for (t in assigned) {
             val job = jobs.getValue(t.ref.job)
             job.outbox += Outgoing.Start(t.ref, t.attempt)
@@ -158,6 +170,29 @@
         }
     }
 
+    private fun logDeferral(r: RankedJob, now: Long) {
+        r.job.wasDeferred = true
+        val d = r.demand
+        val detail = "priority ${d.priority}, target in ${d.deadline - now} ms, needs ${d.remainingWork.toLong()} core-ms"
+        state.logEvent("job deferred", job = r.job.record.id, detail = detail)
+    }
+
+    /**
+     * The accepted work and the room for it, of the services whose work takes [minBacklogMillis] or more. Empty until all
+     * workers had the time to report to this owner: a part of the room would make the work look too large.
+     */
+    public fun loads(now: Long, minBacklogMillis: Long): List<ShardLoad> {
+        if (now < state.completeFrom) return emptyList()
+        val known = workers.values.filter { now < it.leaseEndsAt && !it.profile.draining }
+            .filter { state.evacuations.allowStart(it, now) }.groupBy { it.profile.service }
+        return jobs.values.filter { !it.phase.isFinal }.groupBy { state.currentClass(it.record.jobClass).service }
+            .map { (service, ofService) ->
+                val demands = ofService.map { it.demand(state.currentClass(it.record.jobClass).priority) }
+                shardLoad(service, demands, roomFor(known[service].orEmpty()), now)
+            }
+            .filter { it.room > 0 && it.backlogMillis >= minBacklogMillis }
+    }
+
     /** The next records to store; null if there are none. At most one commit may be in progress. */
     public fun nextCommit(): Commit? {
         if (unsaved.isEmpty()) return null
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobSpec.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobSpec.kt
@@ -75,3 +75,32 @@
     /** The part of [demand] that is reserved on a worker. */
     val reserved: Resources get() = if (backfill) demand.copy(cpuMillis = 0) else demand
 }
+
+/** Estimated duration of the longest chain of dependent steps among those that [isIncluded], in milliseconds. */
+internal fun JobSpec.criticalPathMillis(isIncluded: (step: Int) -> Boolean): Long {
+    val ends = LongArray(steps.size)
+    steps.forEachIndexed { i, s ->
+        val own = if (isIncluded(i)) s.estimateMillis else 0L
+        ends[i] = own + (s.after.filter { it in 0 until i }.maxOfOrNull { ends[it] } ?: 0L)
+    }
+    return ends.maxOrNull() ?: 0L
+}
+
+/** Estimated work of one run of the steps, in core-milliseconds. */
+internal fun JobSpec.work(): Double = steps.sumOf { it.taskWork() * it.tasks }
+
+/** Estimated work of a task, in core-milliseconds. */
+internal fun StepSpec.taskWork(): Double = demand.cpuMillis.toDouble() * estimateMillis / MILLIS_PER_CORE
+
+/** Target duration of a job of [jobClass] whose critical path is estimated as [pathMillis], in milliseconds. */
+internal fun targetMillis(pathMillis: Long, jobClass: JobClass): Long =
+    (jobClass.stretch * pathMillis).toLong() + jobClass.targetMillis
+
+/** Time that [work], in core-milliseconds, takes in [room], in thousandths of a core. */
+internal fun millisFor(work: Double, room: Long): Long =
+    (work * MILLIS_PER_CORE / room).coerceAtMost(LONGEST_MILLIS).toLong()
+
+private const val MILLIS_PER_CORE = 1_000
+
+/** Three thousand years; a sum of it and a time does not overflow. */
+private const val LONGEST_MILLIS = 1e14
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/ShardState.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ShardState.kt
@@ -14,6 +14,9 @@
     val interference = InterferenceModel()
     val evacuations = Evacuations(settings.maxEvacuationAgeMillis)
 
+    /** Time from which all workers that are in use have had the time to report to this owner. */
+    var completeFrom = 0L
+
     /** Configured classes of work by id; null before the first configuration. */
     var classes: Map<String, JobClass>? = null
 
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/ShardSummary.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ShardSummary.kt
@@ -16,4 +16,6 @@
     val fitChecks: Long,
     /** Usable workers that get no tasks, because their failure domain is evacuated or the state is not recent. */
     val evacuatedWorkers: Int = 0,
+    /** Jobs that are deferred because others that need less room would miss their targets. */
+    val deferredJobs: Int = 0,
 )
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TaskScheduling.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TaskScheduling.kt
@@ -8,6 +8,7 @@
     private val settings: JobShardSettings,
     private val forecast: BackfillForecast,
     private val policy: PlacementPolicy = interferenceAwarePlacement(forecast),
+    private val rankByRoom: RoomRanking = ::rankByRoom,
     /** Whether the operators allow starts on a worker at a time. */
     private val allowStart: (worker: TrackedWorker, now: Long) -> Boolean = { _, _ -> true },
 ) {
@@ -15,6 +16,10 @@
     var fitChecks = 0L
         private set
 
+    /** The jobs in the order of the last pass that found waiting tasks. */
+    var ranked: List<RankedJob> = emptyList()
+        private set
+
     /** Assigns the waiting tasks that fit, and returns them. [classOf] returns the current configuration of a class. */
     fun place(
         jobs: List<TrackedJob>,
@@ -27,11 +32,11 @@
         if (usable.isEmpty()) return emptyList()
         val healthStateOf = healthStatesOf(usable, now)
         val placed = mutableListOf<TrackedTask>()
-        val waiting = jobs.filter { it.mayHaveWaiting() }
-        if (waiting.isEmpty()) return emptyList()
+        if (jobs.none { it.mayHaveWaiting() }) return emptyList()
         val workersByService = usable.groupBy { it.profile.service }
         val rejected = RejectedPlacements()
-        for (job in waiting.sortedByPriority(now) { classOf(it.record.jobClass).priority }) {
+        ranked = rank(jobs, workersByService, classOf, now)
+        for (job in ranked.map { it.job }.filter { it.mayHaveWaiting() }) {
             val jobClass = classOf(job.record.jobClass)
             val serviceWorkers = workersByService[jobClass.service].orEmpty()
             val candidates = Candidates(serviceWorkers, healthStateOf, jobClass, now, rejected)
@@ -41,6 +46,18 @@
         return placed
     }
 
+    /** Ranks all [jobs] by service, since those that only run need room too. */
+    private fun rank(
+        jobs: List<TrackedJob>,
+        workersByService: Map<String, List<TrackedWorker>>,
+        classOf: (JobClass) -> JobClass,
+        now: Long,
+    ): List<RankedJob> = jobs.groupBy { classOf(it.record.jobClass).service }.flatMap { (service, ofService) ->
+        ofService.sortedByPriority(now, roomFor(workersByService[service].orEmpty()), rankByRoom) {
+            classOf(it.record.jobClass).priority
+        }
+    }
+
     /**
      * Starts what waits for a preference only: one task or gang of a job of which nothing runs, and each task that runs
      * until its job is cancelled. Otherwise they would wait for as long as the preference cannot be met.
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedJob.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedJob.kt
@@ -23,6 +23,9 @@
     /** Start of the time in which backfill tasks are ready but no task of the job is assigned; null otherwise. */
     var starvedSince: Long? = null
 
+    /** Whether the job was deferred, because others that need less room would have missed their targets. */
+    var wasDeferred = false
+
     /** Instances on which tasks of the job failed. */
     var failedOn: Set<String> = emptySet()
 
@@ -36,23 +39,17 @@
     val isDone: Boolean get() = allSteps.all { it.isDone }
 
     /** Time by which the job should end, derived from the estimated critical path and the targets of its class. */
-    fun deadline(): Long =
-        arrivedAt + (record.jobClass.stretch * criticalPathMillis).toLong() + record.jobClass.targetMillis
+    fun deadline(): Long = arrivedAt + targetMillis(criticalPathMillis, record.jobClass)
 
-    private val criticalPathMillis = criticalPathMillis { true }
+    private val criticalPathMillis = spec.criticalPathMillis { true }
 
     /** Estimated duration of the longest chain of dependent steps that are not done, in milliseconds. */
-    fun remainingCriticalPathMillis(): Long =
-        steps.maxOfOrNull { inOccurrence -> criticalPathMillis { !inOccurrence[it].isDone } } ?: 0L
-
-    private fun criticalPathMillis(isIncluded: (Int) -> Boolean): Long {
-        val ends = LongArray(spec.steps.size)
-        spec.steps.forEachIndexed { i, s ->
-            val own = if (isIncluded(i)) s.estimateMillis else 0L
-            ends[i] = own + (s.after.filter { it in 0 until i }.maxOfOrNull { ends[it] } ?: 0L)
-        }
-        return ends.maxOrNull() ?: 0L
-    }
+    fun remainingPathMillis(): Long =
+        steps.maxOfOrNull { inOccurrence -> spec.criticalPathMillis { !inOccurrence[it].isDone } } ?: 0L
+
+    /** Estimated work of the tasks that are not done, in core-milliseconds. */
+    fun remainingWork(): Double = allSteps.filterNot { it.spec.longRunning }
+        .sumOf { s -> s.spec.taskWork() * (s.tasks.size - s.doneCount) }
 
     fun task(ref: TaskRef): TrackedTask? = step(ref)?.tasks?.getOrNull(ref.index)
 
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedWorker.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedWorker.kt
@@ -132,3 +132,9 @@
         const val UNUSED_PERCENT = 50
     }
 }
+
+/** CPU of [workers] that jobs share: all but the demand of tasks that run until their job is cancelled. */
+internal fun roomFor(workers: Collection<TrackedWorker>): Long = workers.sumOf { w ->
+    val lasting = w.assigned.values.filter { it.spec.longRunning }.sumOf { it.spec.reserved.cpuMillis }
+    (w.profile.capacity.cpuMillis - lasting).coerceAtLeast(0)
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/OverloadOrderTest.kt
@@ -0,0 +1,72 @@
+package org.camphorhall.core.jobs
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+/** Tests which jobs wait when there is too little room. The room is 10 cores and the time is 0. */
+internal class OverloadOrderTest {
+    /** A job that needs [seconds] of the whole room and should end after [target] seconds. */
+    private fun job(
+        seconds: Int,
+        target: Int,
+        priority: Int = 0,
+        path: Int = 0,
+        begun: Boolean = false,
+    ) = JobDemand(priority, target * 1_000L, target * 3_000L, path * 1_000L, seconds * 10_000.0, begun)
+
+    private class Case(val jobs: List<JobDemand>, val ranks: String)
+
+    private val cases = mapOf(
+        "no job" to Case(emptyList(), ""),
+        "all fit" to Case(listOf(job(2, 10), job(3, 10), job(5, 10)), "T T T"),
+        "the largest is deferred for two others" to Case(listOf(job(6, 10), job(4, 10), job(5, 11)), "D T T"),
+        "a later one that is larger is deferred itself" to Case(listOf(job(4, 10), job(5, 10), job(6, 12)), "T T D"),
+        "by deadlines alone all but the first would be late" to
+            Case(listOf(job(8, 8), job(3, 9), job(3, 9), job(3, 10)), "D T T T"),
+        "a job that has begun is finished" to Case(listOf(job(6, 10, begun = true), job(4, 10), job(5, 10)), "T T D"),
+        "jobs that have begun are never deferred" to
+            Case(listOf(job(6, 5, begun = true), job(9, 6, begun = true)), "T T"),
+        "an urgent class is not deferred for another" to
+            Case(listOf(job(9, 10), job(1, 10, priority = 1), job(2, 10, priority = 1)), "T T D"),
+        "an urgent class takes its room first" to
+            Case(listOf(job(3, 5, priority = 2), job(8, 9, priority = 0), job(3, 12, priority = 2)), "D T T"),
+        "a target that cannot be met alone" to Case(listOf(job(1, 5, path = 6), job(1, 5, path = 16)), "L X"),
+        "late jobs take no room from others" to Case(listOf(job(9, 5, path = 6), job(4, 5)), "L T"),
+        "work of unknown size is not deferred" to Case(listOf(job(0, 1), job(9, 9), job(0, 2)), "T T T"),
+        "a job larger than all of the room" to Case(listOf(job(100, 10), job(9, 10)), "D T"),
+    )
+
+    private fun List<RoomRank>.text() = joinToString(" ") {
+        when (it) {
+            RoomRank.OnTime -> "T"
+            RoomRank.Deferred -> "D"
+            RoomRank.Late -> "L"
+            RoomRank.TooLate -> "X"
+        }
+    }
+
+    /** Guards against an overload in which every job ends a little too late. */
+    @Test
+    fun `the jobs that need the most room are deferred, and only where targets would be missed`() {
+        for ((name, case) in cases) {
+            expectThat(rankByRoom(case.jobs, room = 10_000, now = 0).text()).describedAs(name).isEqualTo(case.ranks)
+        }
+    }
+
+    /** Guards against deferrals by an owner that does not know the room yet. */
+    @Test
+    fun `nothing is deferred without known room`() {
+        for (room in listOf(0L, -1L)) {
+            expectThat(rankByRoom(listOf(job(9, 10), job(9, 10)), room, now = 0).text()).isEqualTo("T T")
+        }
+    }
+
+    /** Guards against estimates that overflow and put a huge job first. */
+    @Test
+    fun `a job of any size can be ranked`() {
+        val huge = JobDemand(0, 5_000, 15_000, 0, Double.MAX_VALUE, hasBegun = false)
+        expectThat(rankByRoom(listOf(huge, job(4, 10)), room = 1, now = 0).text()).isEqualTo("D D")
+        expectThat(rankByRoom(listOf(huge, job(4, 10)), room = 10_000, now = 0).text()).isEqualTo("D T")
+    }
+}
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/ShardHarness.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/ShardHarness.kt
@@ -3,8 +3,11 @@
 import org.camphorhall.core.model.Resources
 
 /** Drives a [JobShard] with a store that always responds and workers that execute all commands. */
-internal class ShardHarness(settings: JobShardSettings = JobShardSettings()) {
-    val shard = JobShard(settings)
+internal class ShardHarness(
+    settings: JobShardSettings = JobShardSettings(),
+    rankByRoom: RoomRanking = ::rankByRoom,
+) {
+    val shard = JobShard(settings, rankByRoom)
     var now = 1_000L
     val starts = mutableListOf<Pair<Long, WorkerCommand.Start>>()
     val stops = mutableListOf<Pair<Long, WorkerCommand.Stop>>()
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/OwnerRequestClient.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/OwnerRequestClient.kt
@@ -12,6 +12,7 @@
 import org.camphorhall.scheduler.support.OwnerFinder
 import org.camphorhall.scheduler.support.PeerFailure
 import org.camphorhall.scheduler.support.ShardKeys
+import org.camphorhall.scheduler.support.SystemClock
 import org.camphorhall.scheduler.support.WriteResult
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -19,7 +20,11 @@
 private val logger = KotlinLogging.logger {}
 
 /** Sends requests to the owners of the shards. */
-internal class OwnerRequestClient(private val client: OwnerClient, private val shards: List<OwnerFinder>) {
+internal class OwnerRequestClient(
+    private val client: OwnerClient,
+    private val shards: List<OwnerFinder>,
+    private val overload: OverloadView = OverloadView(SystemClock, shards.size),
+) {
     /** Sends [notice] to the owner of [job]. A lost message does no harm, because owners also read the store. */
     suspend fun notifyOwner(job: String, notice: OwnerRequest) {
         sendOrNull(ShardKeys.shardOf(job, shards.size), notice)
@@ -60,6 +65,8 @@
             .onRight {
                 if (it is OwnerResponse.Moved) finder.update(it.owner)
                 if (it is OwnerResponse.NotOwner) finder.requestRefresh()
+                if (it is OwnerResponse.Acknowledged) overload.update(shard, it.loads)
+                if (it is OwnerResponse.Phase) overload.update(shard, it.loads)
             }
     }
 
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerEntry.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerEntry.kt
@@ -57,16 +57,18 @@
         fleetStore(options.store, STORE_CONNECT_TIMEOUT, STORE_CALL_TIMEOUT) { storeCalls.increment(it.name) }
     private val sockets = PeerSockets()
     private val ownerFinders = List(options.shards) { OwnerFinder(store, ShardKeys(it)) }
+    private val overload = OverloadView(clock, options.shards)
     private val config = ConfigWatcher(fleetOperatorConfig(store), clock)
     private val intake = SchedulerJobIntake(
         config = { config.config },
         records = JobRecordStore(store, options.shards),
-        owners = OwnerRequestClient(OwnerClient(sockets, scope), ownerFinders),
+        owners = OwnerRequestClient(OwnerClient(sockets, scope), ownerFinders, overload),
         scope = scope,
         clock = clock,
         metrics = IntakeMetrics(metrics),
         writer = RecordWriter(clock),
         isConfigFresh = { clock.steady() - config.lastReadAt < options.maxConfigAgeMillis },
+        overload = overload,
     )
     private val server = httpServer(
         mapOf(
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerJobIntake.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerJobIntake.kt
@@ -5,6 +5,7 @@
 import io.github.oshai.kotlinlogging.Level
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
+import org.camphorhall.core.jobs.AdmissionForecast
 import org.camphorhall.core.jobs.JobClass
 import org.camphorhall.core.jobs.JobPhase
 import org.camphorhall.core.jobs.JobRecord
@@ -35,7 +36,9 @@
     private val writer: RecordWriter,
     /** Whether the configuration is recent enough to be treated as the newest one. */
     private val isConfigFresh: () -> Boolean,
+    private val overload: OverloadView,
 ) : JobIntake {
+    private val retryAfter = RetryAfter()
     private val requestCount = AtomicInteger()
     private val finalPhases = FinalPhaseCache()
 
@@ -86,14 +89,25 @@
         }
     }
 
-    private suspend fun submit(record: JobRecord, deadline: Long): IntakeResponse =
-        responseOf(
+    private suspend fun submit(record: JobRecord, deadline: Long): IntakeResponse {
+        val forecast = overload.forecast(record)
+        if (forecast is AdmissionForecast.TooLate && isNew(record.id)) return overloaded(record.id, forecast)
+        return responseOf(
             writer.write(
                 deadline,
                 direct = { records.store(record).notifyOwner(record.id, OwnerRequest.JobStored(record)) },
                 throughOwner = { owners.write(record.id, OwnerRequest.StoreJob(record), it) },
             ),
         )
+    }
+
+    /** Whether the store has no such job. A job that was accepted before is not turned away when it is sent again. */
+    private suspend fun isNew(id: String): Boolean = records.exists(id).fold({ false }, { !it })
+
+    private fun overloaded(id: String, forecast: AdmissionForecast.TooLate) = IntakeResponse.Overloaded(
+        "the job would end in ${forecast.expectedEndMillis} ms and is useful for ${forecast.usefulMillis} ms",
+        retryAfter.seconds(id, forecast.roomAfterMillis),
+    )
 
     private suspend fun cancel(id: String, deadline: Long): IntakeResponse = responseOf(
         writer.write(
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
@@ -13,6 +13,7 @@
 import org.camphorhall.core.jobs.Commit
 import org.camphorhall.core.jobs.JobShard
 import org.camphorhall.core.jobs.JobShardSettings
+import org.camphorhall.core.jobs.ShardLoad
 import org.camphorhall.core.jobs.ShardOutput
 import org.camphorhall.core.jobs.ShardSummary
 import org.camphorhall.core.jobs.WorkerCommand
@@ -46,6 +47,8 @@
     private val epoch = ownership.epoch
     private var healthPaths = emptyMap<String, String>()
     private var isWriting = false
+    private var loads = emptyList<ShardLoad>()
+    private var loadsAt = Long.MIN_VALUE / 2
     private val log = ShardLog(epoch, clock)
 
     @Volatile
@@ -82,7 +85,7 @@
         val loaded = load()
         val now = clock.steady()
         val leasesEndAt = now + graceMillis + settings.leaseMillis + settings.leaseSlackMillis
-        shard.recover(loaded.jobs, leasesEndAt, now)
+        shard.recover(loaded.jobs, leasesEndAt, now, clock.wall())
         logger.event(
             Level.INFO,
             "shard loaded",
@@ -198,6 +201,7 @@
             "backfillCpuMillis" to s.backfillCpuMillis,
             "unsavedJobs" to s.unsavedJobs,
             "fitChecks" to s.fitChecks,
+            "deferredJobs" to s.deferredJobs.takeIf { it > 0 },
             "evacuatedWorkers" to s.evacuatedWorkers.takeIf { it > 0 },
             "mayGrant" to ownership.mayGrantLeases,
         )
@@ -256,9 +260,9 @@
     }
 
     private fun responseTo(request: OwnerRequest, now: Long): OwnerResponse = when (request) {
-        is OwnerRequest.JobStored -> OwnerResponse.Acknowledged.also { shard.accept(request.record, now) }
-        is OwnerRequest.CancellationStored -> OwnerResponse.Acknowledged.also { shard.cancel(request.id, now) }
-        is OwnerRequest.GetPhase -> OwnerResponse.Phase(shard.phaseOf(request.id))
+        is OwnerRequest.JobStored -> OwnerResponse.Acknowledged(loads(now)).also { shard.accept(request.record, now) }
+        is OwnerRequest.CancellationStored -> OwnerResponse.Acknowledged().also { shard.cancel(request.id, now) }
+        is OwnerRequest.GetPhase -> OwnerResponse.Phase(shard.phaseOf(request.id), loads(now))
         is OwnerRequest.CountPending -> OwnerResponse.PendingCount(shard.pending(request.classId))
         // Handled by SchedulerService, which needs no shard for them.
         is OwnerRequest.StoreJob, is OwnerRequest.StoreCancellation -> OwnerResponse.NotOwner
@@ -267,10 +271,19 @@
                 successor = request.owner
                 isClosed = true
             }
-            OwnerResponse.Acknowledged
+            OwnerResponse.Acknowledged()
         }
     }
 
+    /** The loads of the services with too little room, for the entries that turn jobs away. */
+    private fun loads(now: Long): List<ShardLoad> {
+        if (now - loadsAt >= LOAD_INTERVAL_MILLIS) {
+            loadsAt = now
+            loads = shard.loads(now, MIN_BACKLOG_MILLIS)
+        }
+        return loads
+    }
+
     private fun handleWritten(e: OwnerEvent.Written, now: Long) {
         isWriting = false
         if (e.revision == null) {
@@ -327,6 +340,12 @@
 
         val SUMMARY_INTERVAL = 2_000.milliseconds
 
+        /** Interval at which the load is computed again. Entries use one for a second. */
+        const val LOAD_INTERVAL_MILLIS = 250L
+
+        /** With less work than this, no job can be too late for lack of room, and entries need no load. */
+        const val MIN_BACKLOG_MILLIS = 1_000L
+
         /** Interval between checks for expired leases and due jobs. */
         val TICK_INTERVAL = 100.milliseconds
 
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/protocol/OwnerRequest.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/protocol/OwnerRequest.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.Serializable
 import org.camphorhall.core.jobs.JobPhase
 import org.camphorhall.core.jobs.JobRecord
+import org.camphorhall.core.jobs.ShardLoad
 import org.camphorhall.scheduler.owner.ShardOwnerRecord
 import org.camphorhall.scheduler.support.WriteResult
 
@@ -59,15 +60,15 @@
     @SerialName("moved")
     class Moved(val owner: ShardOwnerRecord) : OwnerResponse
 
-    /** The owner processed the report. */
+    /** The owner processed the report. Owners of earlier builds send no [loads]. */
     @Serializable
     @SerialName("noted")
-    data object Acknowledged : OwnerResponse
+    class Acknowledged(val loads: List<ShardLoad> = emptyList()) : OwnerResponse
 
     /** Phase of a job; null if the owner does not track the job. */
     @Serializable
     @SerialName("phase")
-    class Phase(val phase: JobPhase?) : OwnerResponse
+    class Phase(val phase: JobPhase?, val loads: List<ShardLoad> = emptyList()) : OwnerResponse
 
     /** Result of a requested write. */
     @Serializable
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/JobRecordStore.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/JobRecordStore.kt
@@ -30,7 +30,8 @@
         { if (it) create(keysOf(id).cancellation(id), "{}") else WriteResult.NoSuchJob },
     )
 
-    private suspend fun exists(id: String): Either<StoreError, Boolean> =
+    /** Whether the job [id] is stored. */
+    suspend fun exists(id: String): Either<StoreError, Boolean> =
         store.get(keysOf(id).job(id)).map { it != null }
 
     /** Phase of a job according to its records; null if the job does not exist. */
