Check waiting tasks only against workers that may have more room

The room of backfill work left out what serving tasks do not use.

Change: what fits nowhere is remembered for 300 ms, and checked again only against workers whose tasks ended or that reported. Ranks are kept for 100 ms. The use of a worker by backfill images is cached. Backfill work has a room of its own.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobDemand.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobDemand.kt
@@ -17,6 +17,8 @@
     val remainingWork: Double,
     /** Whether enough of the job is done or runs that finishing it frees room sooner than beginning another one. */
     val hasBegun: Boolean,
+    /** Whether the work runs on CPU that other tasks leave unused, and reserves none. */
+    val isBackfill: Boolean = false,
 )
 
 /** What the job needs at [now], by the [priority] of its class at present. */
@@ -29,6 +31,7 @@
         remainingPathMillis = remainingPathMillis(),
         remainingWork = remainingWork(),
         hasBegun = hasBegun(),
+        isBackfill = spec.isBackfill,
     )
 }
 
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobPriority.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobPriority.kt
@@ -6,11 +6,11 @@
 /**
  * Sorts jobs by the priority of their class, then by [RoomRank], then by deadline. Jobs that can still meet their target
  * precede those that cannot, so that an overload delays some jobs rather than all; jobs whose result has become useless
- * come last. [room] is the CPU that they share, in thousandths of a core.
+ * come last. [room] is the CPU that they share.
  */
 internal fun List<TrackedJob>.sortedByPriority(
     now: Long,
-    room: Long,
+    room: Room,
     rank: RoomRanking = ::rankByRoom,
     priorityOf: (TrackedJob) -> Int,
 ): List<RankedJob> {
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
@@ -47,6 +47,7 @@
     public fun evacuate(domains: Set<String>, currentAt: Long) {
         val earlier = state.evacuations.domains
         state.evacuations.update(domains, currentAt)
+        if (domains != earlier) workers.values.forEach { it.recordChange() }
         (domains - earlier).forEach { logEvacuation("failure domain evacuated", it) }
         (earlier - domains).forEach { logEvacuation("failure domain in use again", it) }
     }
@@ -188,9 +189,9 @@
         return jobs.values.filter { !it.phase.isFinal }.groupBy { state.currentClass(it.record.jobClass).service }
             .map { (service, ofService) ->
                 val demands = ofService.map { it.demand(state.currentClass(it.record.jobClass).priority) }
-                shardLoad(service, demands, roomFor(known[service].orEmpty()), now)
+                shardLoad(service, demands, roomOn(known[service].orEmpty()), now)
             }
-            .filter { it.room > 0 && it.backlogMillis >= minBacklogMillis }
+            .filter { it.work.isNotEmpty() && it.backlogMillis >= minBacklogMillis }
     }
 
     /** The next records to store; null if there are none. At most one commit may be in progress. */
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobSpec.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobSpec.kt
@@ -13,6 +13,9 @@
     val steps: List<StepSpec>,
     val repeat: Repeat? = null,
 ) {
+    /** Whether all tasks run on CPU that other tasks leave unused. */
+    internal val isBackfill: Boolean get() = steps.all { it.backfill }
+
     /** Number of runs of the steps. */
     public val occurrences: Int get() = repeat?.count ?: 1
 
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/RejectedPlacements.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/RejectedPlacements.kt
@@ -3,21 +3,35 @@
 import org.camphorhall.core.model.Resources
 
 /**
- * Caches the requirements of tasks that fit on no healthy worker in one placement pass. Free capacity only decreases
- * during a pass, so that another task with the same requirements does not fit either.
+ * Remembers the requirements of tasks that fit on no healthy worker. In the same placement pass another task with the same
+ * requirements does not fit either. In later passes only the workers that may have got more room since are checked
+ * again, for [RECHECK_MILLIS]: the forecasts of all workers change slowly with what is learned of the images.
  *
- * Load pattern: hundreds of jobs wait whose tasks have the same requirements. Checking each of them against all workers
- * on every event uses the CPU time that the owner needs to renew its ownership of the shard.
+ * Load pattern: hundreds of tasks end each second while tens of jobs wait, each with requirements of its own. Checking
+ * all of them against all workers at each end uses the CPU time that the owner needs to start tasks, and to renew its
+ * ownership of the shard.
  */
 internal class RejectedPlacements {
-    private val rejected = HashSet<TaskRequirements>()
+    private class Rejection(val at: Long, var pass: Long)
 
-    /** Whether a task of [service] with the same requirements as [t] was recorded. */
-    fun isRejected(t: TrackedTask, service: String): Boolean = t.requirements(service)?.let { it in rejected } ?: false
+    private val rejections = HashMap<TaskRequirements, Rejection>()
+    private var pass = 0L
 
-    /** Records that [t] fits on no healthy worker of [service]. */
-    fun record(t: TrackedTask, service: String) {
-        t.requirements(service)?.let { rejected += it }
+    /** Begins the pass at [now]. A requirement that the last pass did not check has missed the changes since. */
+    fun beginPass(now: Long) {
+        rejections.values.removeIf { it.pass != pass || now - it.at >= RECHECK_MILLIS }
+        pass++
+    }
+
+    /** Which workers of [service] to check for [t] in this pass. */
+    fun scopeOf(t: TrackedTask, service: String): PlacementScope {
+        val rejection = t.requirements(service)?.let(rejections::get) ?: return PlacementScope.AllWorkers
+        return if (rejection.pass == pass) PlacementScope.None else PlacementScope.ChangedWorkers
+    }
+
+    /** Records that [t] fits on no healthy worker of [service] in this pass, at [now]. */
+    fun record(t: TrackedTask, service: String, now: Long) {
+        t.requirements(service)?.let { rejections.getOrPut(it) { Rejection(now, pass) }.pass = pass }
     }
 
     /** Null if the placement of the task also depends on that of its siblings. */
@@ -35,4 +49,19 @@
         val backfill: Boolean,
         val image: String?,
     )
+
+    private companion object {
+        /** Short against the time of a task, and long against the time between two ends under load. */
+        const val RECHECK_MILLIS = 300L
+    }
+}
+
+/** The workers to check for a task. */
+internal enum class PlacementScope {
+    AllWorkers,
+
+    /** Those that may have got more room since the last pass. */
+    ChangedWorkers,
+
+    None,
 }
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/ReportHandling.kt
@@ -27,6 +27,7 @@
             learnInterference(w, report, now)
         }
         if (report.reachable && report.isComplete) w.hasReported = true
+        w.recordChange()
         logHealthState(w, now)
         state.acknowledge(w)
         return report.reachable
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TaskScheduling.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TaskScheduling.kt
@@ -16,6 +16,10 @@
     var fitChecks = 0L
         private set
 
+    private val rejected = RejectedPlacements()
+    private var rankedAt = Long.MIN_VALUE / 2
+    private var rankedJobs: Set<TrackedJob> = emptySet()
+
     /** The jobs in the order of the last pass that found waiting tasks. */
     var ranked: List<RankedJob> = emptyList()
         private set
@@ -34,26 +38,44 @@
         val placed = mutableListOf<TrackedTask>()
         if (jobs.none { it.mayHaveWaiting() }) return emptyList()
         val workersByService = usable.groupBy { it.profile.service }
-        val rejected = RejectedPlacements()
+        val pools = workersByService.mapValues { (_, ofService) -> WorkerPools(ofService, healthStateOf) }
+        rejected.beginPass(now)
         ranked = rank(jobs, workersByService, classOf, now)
         for (job in ranked.map { it.job }.filter { it.mayHaveWaiting() }) {
             val jobClass = classOf(job.record.jobClass)
-            val serviceWorkers = workersByService[jobClass.service].orEmpty()
-            val candidates = Candidates(serviceWorkers, healthStateOf, jobClass, now, rejected)
+            val candidates = Candidates(pools[jobClass.service] ?: WorkerPools.None, jobClass, now)
             for (step in job.readySteps(wallMillis)) placed += placeStep(step, candidates)
             placed += placeStarved(job, candidates, wallMillis)
         }
+        val checked = pools.values.flatMapTo(HashSet()) { it.healthy }
+        // A worker that was not checked has room that the rejected tasks do not know of.
+        workers.forEach { it.mayHaveMoreRoom = it !in checked }
         return placed
     }
 
-    /** Ranks all [jobs] by service, since those that only run need room too. */
+    /**
+     * Ranks all [jobs] by service, since those that only run need room too. The order is kept for [RANKING_MILLIS] unless
+     * there is another job.
+     */
     private fun rank(
         jobs: List<TrackedJob>,
         workersByService: Map<String, List<TrackedWorker>>,
         classOf: (JobClass) -> JobClass,
         now: Long,
+    ): List<RankedJob> {
+        if (now - rankedAt < RANKING_MILLIS && rankedJobs.containsAll(jobs)) return ranked
+        rankedAt = now
+        rankedJobs = jobs.toHashSet()
+        return rankAnew(jobs, workersByService, classOf, now)
+    }
+
+    private fun rankAnew(
+        jobs: List<TrackedJob>,
+        workersByService: Map<String, List<TrackedWorker>>,
+        classOf: (JobClass) -> JobClass,
+        now: Long,
     ): List<RankedJob> = jobs.groupBy { classOf(it.record.jobClass).service }.flatMap { (service, ofService) ->
-        ofService.sortedByPriority(now, roomFor(workersByService[service].orEmpty()), rankByRoom) {
+        ofService.sortedByPriority(now, roomOn(workersByService[service].orEmpty()), rankByRoom) {
             classOf(it.record.jobClass).priority
         }
     }
@@ -208,9 +230,12 @@
     }
 
     private fun choose(t: TrackedTask, candidates: Candidates): TrackedWorker? {
-        val isRejected = candidates.rejected.isRejected(t, candidates.service)
-        val healthy = if (isRejected) null else chooseHealthy(t, candidates.healthy)
-        if (healthy == null && !isRejected) candidates.rejected.record(t, candidates.service)
+        val healthy = when (rejected.scopeOf(t, candidates.service)) {
+            PlacementScope.AllWorkers -> chooseHealthy(t, candidates.healthy)
+            PlacementScope.ChangedWorkers -> chooseHealthy(t, candidates.changed)
+            PlacementScope.None -> null
+        }
+        if (healthy == null) rejected.record(t, candidates.service, candidates.now)
         return healthy ?: candidates.forProbe(t).firstOrNull { fits(t, it) }
     }
 
@@ -222,18 +247,28 @@
     private fun preferNotAvoided(t: TrackedTask, workers: List<TrackedWorker>): List<TrackedWorker> =
         workers.filter { it.key.instance !in t.avoidedInstances }.ifEmpty { workers }
 
+    /** The usable [workers] of a service in one pass, by health state. */
+    private class WorkerPools(workers: List<TrackedWorker>, healthStateOf: (TrackedWorker) -> WorkerHealthState) {
+        private val byState = workers.groupBy(healthStateOf)
+        val healthy = byState[WorkerHealthState.Healthy].orEmpty()
+        val onProbation = byState[WorkerHealthState.OnProbation].orEmpty()
+        val quarantined = byState[WorkerHealthState.Quarantined].orEmpty()
+
+        /** The healthy workers that may have got more room since the last pass. */
+        val changed = healthy.filter { it.mayHaveMoreRoom }
+
+        companion object {
+            val None = WorkerPools(emptyList()) { WorkerHealthState.Healthy }
+        }
+    }
+
     /** The usable workers for the tasks of one job of class [jobClass], by health state. */
-    private class Candidates(
-        workers: List<TrackedWorker>,
-        healthStateOf: (TrackedWorker) -> WorkerHealthState,
-        private val jobClass: JobClass,
-        val now: Long,
-        val rejected: RejectedPlacements,
-    ) {
+    private class Candidates(pools: WorkerPools, private val jobClass: JobClass, val now: Long) {
         val service: String get() = jobClass.service
-        val healthy = workers.filter { healthStateOf(it) == WorkerHealthState.Healthy }
-        private val onProbation = workers.filter { healthStateOf(it) == WorkerHealthState.OnProbation }
-        private val quarantined = workers.filter { healthStateOf(it) == WorkerHealthState.Quarantined }
+        val healthy = pools.healthy
+        val changed = pools.changed
+        private val onProbation = pools.onProbation
+        private val quarantined = pools.quarantined
 
         /**
          * Workers on probation that may run [t] to test their health. Excludes tasks on their last attempt and
@@ -281,6 +316,9 @@
     }
 
     private companion object {
+        /** Ranks follow from times of seconds, and ranking all jobs at each event would cost more than placing them. */
+        const val RANKING_MILLIS = 100L
+
         /** Progress from which the remaining work of a task is not worth a restart. */
         const val NEARLY_DONE_PERCENT = 85
 
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedWorker.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedWorker.kt
@@ -50,6 +50,18 @@
     var servingCpu = 0L
         private set
 
+    /** Whether the worker may have got more room since the last placement pass. */
+    var mayHaveMoreRoom = true
+
+    /** Cached value of [fullShareBackfillUtilization]; null after a change of the tasks or of their usage. */
+    private var utilization: Map<String, Double>? = null
+
+    /** Records that tasks have ended, or that new measurements were reported. */
+    fun recordChange() {
+        mayHaveMoreRoom = true
+        utilization = null
+    }
+
     /** Time of the last sample added to the interference model, on the worker's clock. */
     var lastSampleAtMillis = 0L
 
@@ -60,16 +72,22 @@
      */
     val freeBackfillCpu: Long
         get() = if (servingCpu > 0) {
-            idleCpu + servingCpu * UNUSED_PERCENT / FULL_PERCENT - backfillCpu
+            idleCpu + unusedServingCpu - backfillCpu
         } else {
             idleCpu - assigned.values.filter { it.spec.backfill }.sumOf { it.usedCpu }
         }
 
+    /** CPU that the serving tasks leave unused of their demand, in thousandths of a core. */
+    val unusedServingCpu: Long get() = servingCpu * UNUSED_PERCENT / FULL_PERCENT
+
     /** Assigned tasks with a latency target. */
     val serving: List<TrackedTask> get() = assigned.values.filter { it.spec.isServing }
 
     /** Fraction of the worker's CPU that the assigned backfill tasks use at their full shares, by image. */
     fun fullShareBackfillUtilization(): Map<String, Double> =
+        utilization ?: measuredUtilization().also { utilization = it }
+
+    private fun measuredUtilization(): Map<String, Double> =
         assigned.values.filter { it.spec.backfill }.groupBy { it.image }.mapValues { (_, tasks) ->
             tasks.sumOf { it.fullShareCpu } / profile.capacity.cpuMillis.coerceAtLeast(1).toDouble()
         }
@@ -99,6 +117,7 @@
 
     fun assign(t: TrackedTask) {
         assigned[t.ref] = t
+        utilization = null
         reserved += t.spec.reserved
         if (t.spec.backfill) backfillCpu += t.spec.demand.cpuMillis
         if (t.spec.isServing) servingCpu += t.spec.demand.cpuMillis
@@ -106,6 +125,7 @@
 
     fun unassign(t: TrackedTask) {
         if (assigned.remove(t.ref) == null) return
+        recordChange()
         reserved -= t.spec.reserved
         if (t.spec.backfill) backfillCpu -= t.spec.demand.cpuMillis
         if (t.spec.isServing) servingCpu -= t.spec.demand.cpuMillis
@@ -133,8 +153,11 @@
     }
 }
 
-/** CPU of [workers] that jobs share: all but the demand of tasks that run until their job is cancelled. */
-internal fun roomFor(workers: Collection<TrackedWorker>): Long = workers.sumOf { w ->
-    val lasting = w.assigned.values.filter { it.spec.longRunning }.sumOf { it.spec.reserved.cpuMillis }
-    (w.profile.capacity.cpuMillis - lasting).coerceAtLeast(0)
+/** The room that jobs share on [workers]. */
+internal fun roomOn(workers: Collection<TrackedWorker>): Room {
+    val reservable = workers.sumOf { w ->
+        val lasting = w.assigned.values.filter { it.spec.longRunning }.sumOf { it.spec.reserved.cpuMillis }
+        (w.profile.capacity.cpuMillis - lasting).coerceAtLeast(0)
+    }
+    return Room(reservable, reservable + workers.sumOf { it.unusedServingCpu })
 }
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/JobAdmissionTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/JobAdmissionTest.kt
@@ -10,18 +10,20 @@
 import strikt.assertions.isEqualTo
 
 /**
- * Tests which jobs are turned away. A job of the cases takes 1 s, has a target of 1.75 s and is useful for 5.25 s; the room
- * is 10 cores.
+ * Tests which jobs are turned away. A job of the cases takes 1 s, has a target of 1.75 s and is useful for 5.25 s; there
+ * are 10 cores to reserve and 20 for backfill work.
  */
 internal class JobAdmissionTest {
-    private fun load(vararg work: DueWork, room: Long = 10_000) = ShardLoad("service", room, work.toList())
+    private fun load(vararg work: DueWork, room: Long = 10_000) = ShardLoad("service", room, room * 2, work.toList())
 
     /** Work that takes [seconds] of the room. */
-    private fun due(seconds: Int, within: Int = 4, priority: Int = 1) =
-        DueWork(priority, within * 1_000L, seconds * 10_000.0)
+    private fun due(seconds: Int, within: Int = 4, priority: Int = 1, backfill: Boolean = false) =
+        DueWork(priority, backfill, within * 1_000L, seconds * 10_000.0)
 
     private class Case(val load: ShardLoad, val isUseful: Boolean, val tasks: Int = 10, val spec: JobSpec? = null)
 
+    private val backfillJob = JobSpec("", listOf(step(10).copy(backfill = true)))
+
     private val cases = mapOf(
         "no work" to Case(load(), true),
         "work that leaves enough room" to Case(load(due(4)), true),
@@ -32,6 +34,10 @@
         "work that may end later" to Case(load(due(100, within = 8)), true),
         "less urgent work" to Case(load(due(100, priority = 2)), true),
         "more urgent work, whenever it ends" to Case(load(due(5, within = 64, priority = 0)), false),
+        "backfill work beside reserved work" to Case(load(due(100, backfill = true)), true),
+        "backfill work beside a backfill job" to Case(load(due(10, backfill = true)), false, spec = backfillJob),
+        "reserved work before a backfill job" to Case(load(due(10)), false, spec = backfillJob),
+        "a backfill job with enough room" to Case(load(due(4), due(4, backfill = true)), true, spec = backfillJob),
         "an unknown room" to Case(load(due(100), room = 0), true),
         "a job that lasts" to Case(load(due(100)), true, spec = JobSpec("", listOf(step(10).copy(longRunning = true)))),
         "a job with times" to Case(load(due(100)), true, spec = JobSpec("", listOf(step(10)), Repeat(3, 0, 1_000))),
@@ -68,7 +74,7 @@
     fun `the load of a shard is the work that can still be useful`() {
         val h = harness(jobs = 3)
         val load = h.shard.loads(h.now, minBacklogMillis = 0).single()
-        expectThat(load).isEqualTo(ShardLoad("service", 20_000, listOf(DueWork(0, 8_000, 60_000.0))))
+        expectThat(load).isEqualTo(ShardLoad("service", 20_000, 20_000, listOf(DueWork(0, false, 8_000, 60_000.0))))
         expectThat(h.shard.loads(h.now, minBacklogMillis = 3_001)).isEmpty()
         h.now += 10_000
         expectThat(h.shard.loads(h.now, minBacklogMillis = 0)).isEmpty()
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/OverloadOrderTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/OverloadOrderTest.kt
@@ -4,7 +4,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 
-/** Tests which jobs wait when there is too little room. The room is 10 cores and the time is 0. */
+/** Tests which jobs wait when there is too little room: 10 cores to reserve, 20 for backfill work. The time is 0. */
 internal class OverloadOrderTest {
     /** A job that needs [seconds] of the whole room and should end after [target] seconds. */
     private fun job(
@@ -13,7 +13,8 @@
         priority: Int = 0,
         path: Int = 0,
         begun: Boolean = false,
-    ) = JobDemand(priority, target * 1_000L, target * 3_000L, path * 1_000L, seconds * 10_000.0, begun)
+        backfill: Boolean = false,
+    ) = JobDemand(priority, target * 1_000L, target * 3_000L, path * 1_000L, seconds * 10_000.0, begun, backfill)
 
     private class Case(val jobs: List<JobDemand>, val ranks: String)
 
@@ -21,6 +22,7 @@
         "no job" to Case(emptyList(), ""),
         "all fit" to Case(listOf(job(2, 10), job(3, 10), job(5, 10)), "T T T"),
         "the largest is deferred for two others" to Case(listOf(job(6, 10), job(4, 10), job(5, 11)), "D T T"),
+        "of equal ones the later is deferred" to Case(listOf(job(6, 10), job(6, 10)), "T D"),
         "a later one that is larger is deferred itself" to Case(listOf(job(4, 10), job(5, 10), job(6, 12)), "T T D"),
         "by deadlines alone all but the first would be late" to
             Case(listOf(job(8, 8), job(3, 9), job(3, 9), job(3, 10)), "D T T T"),
@@ -34,6 +36,10 @@
         "a target that cannot be met alone" to Case(listOf(job(1, 5, path = 6), job(1, 5, path = 16)), "L X"),
         "late jobs take no room from others" to Case(listOf(job(9, 5, path = 6), job(4, 5)), "L T"),
         "work of unknown size is not deferred" to Case(listOf(job(0, 1), job(9, 9), job(0, 2)), "T T T"),
+        "backfill work takes no reserved room" to
+            Case(listOf(job(5, 10, backfill = true), job(9, 10), job(5, 10, backfill = true)), "T T T"),
+        "reserved work takes the room of backfill work" to
+            Case(listOf(job(9, 10), job(12, 11, backfill = true), job(5, 12, backfill = true)), "T D T"),
         "a job larger than all of the room" to Case(listOf(job(100, 10), job(9, 10)), "D T"),
     )
 
@@ -50,7 +56,7 @@
     @Test
     fun `the jobs that need the most room are deferred, and only where targets would be missed`() {
         for ((name, case) in cases) {
-            expectThat(rankByRoom(case.jobs, room = 10_000, now = 0).text()).describedAs(name).isEqualTo(case.ranks)
+            expectThat(rankByRoom(case.jobs, Room(10_000, 20_000), now = 0).text()).describedAs(name).isEqualTo(case.ranks)
         }
     }
 
@@ -58,7 +64,7 @@
     @Test
     fun `nothing is deferred without known room`() {
         for (room in listOf(0L, -1L)) {
-            expectThat(rankByRoom(listOf(job(9, 10), job(9, 10)), room, now = 0).text()).isEqualTo("T T")
+            expectThat(rankByRoom(listOf(job(9, 10), job(9, 10)), Room(room, room), now = 0).text()).isEqualTo("T T")
         }
     }
 
@@ -66,7 +72,7 @@
     @Test
     fun `a job of any size can be ranked`() {
         val huge = JobDemand(0, 5_000, 15_000, 0, Double.MAX_VALUE, hasBegun = false)
-        expectThat(rankByRoom(listOf(huge, job(4, 10)), room = 1, now = 0).text()).isEqualTo("D D")
-        expectThat(rankByRoom(listOf(huge, job(4, 10)), room = 10_000, now = 0).text()).isEqualTo("D T")
+        expectThat(rankByRoom(listOf(huge, job(4, 10)), Room(1, 1), now = 0).text()).isEqualTo("D D")
+        expectThat(rankByRoom(listOf(huge, job(4, 10)), Room(10_000, 10_000), now = 0).text()).isEqualTo("D T")
     }
 }
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/replay/OverloadReplayTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/replay/OverloadReplayTest.kt
@@ -23,7 +23,8 @@
  */
 internal class OverloadReplayTest {
     private class Arrival(val id: String, val at: Long, val tasks: Int, val millis: Long, val priority: Int) {
-        val targetMillis: Long get() = millis * 3 / 2 + 250
+        /** Of two steps, each of which takes [millis]. */
+        val targetMillis: Long get() = 2 * 2 * millis + TARGET_MILLIS
     }
 
     private class Result(arrivals: List<Arrival>, private val endedAt: Map<String, Long>) {
@@ -52,7 +53,7 @@
         val random = Random(seed)
         val large = List(20) { i ->
             val millis = 2_000L + random.nextLong(0, 2_000)
-            Arrival("%016x".format(i), i * 300L, 2 + random.nextInt(6) * random.nextInt(1, 3), millis, priority = 2)
+            Arrival("%016x".format(i), i * 300L, 2 + random.nextInt(6) * random.nextInt(1, 4), millis, priority = 2)
         }
         val urgent = List(12) { i -> Arrival("%016x".format(100 + i), i * 500L, 2, 500, priority = 0) }
         return (large + urgent).sortedBy { it.at }
@@ -92,8 +93,10 @@
         while (endedAt.size < arrivals.size && h.now - begin < LONGEST_MILLIS) {
             while (remaining.isNotEmpty() && begin + remaining.first().at <= h.now) {
                 val a = remaining.removeFirst()
-                val r = record(listOf(step(a.tasks).copy(estimateMillis = a.millis)), a.id)
-                h.shard.accept(r.copy(jobClass = r.jobClass.copy(priority = a.priority)), h.now)
+                val first = step(a.tasks).copy(estimateMillis = a.millis)
+                val r = record(listOf(first, first.copy(after = listOf(0))), a.id)
+                val jobClass = r.jobClass.copy(priority = a.priority, stretch = 2.0, targetMillis = TARGET_MILLIS)
+                h.shard.accept(r.copy(jobClass = jobClass), h.now)
             }
             workers.report()
             val ended = jobs.keys.filter { it !in endedAt && h.shard.phaseOf(it) == JobPhase.Completed }
@@ -123,6 +126,7 @@
     private companion object {
         const val SEEDS = 10
         const val STEP_MILLIS = 100L
+        const val TARGET_MILLIS = 1_000L
         const val FULL_PERCENT = 100
         const val LAST_COMMAND = 1_000_000L
         const val LONGEST_MILLIS = 120_000L
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/entry/OverloadViewTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/entry/OverloadViewTest.kt
@@ -36,7 +36,7 @@
         acceptedAtMillis = 0,
     )
 
-    private val overloaded = listOf(ShardLoad("service", 10_000, listOf(DueWork(0, 1_000, 1e6))))
+    private val overloaded = listOf(ShardLoad("service", 10_000, 10_000, listOf(DueWork(0, false, 1_000, 1e6))))
 
     private class Case(val loads: List<ShardLoad>?, val ageMillis: Long, val isUseful: Boolean, val job: JobRecord)
 
@@ -77,7 +77,7 @@
     private val responses = mapOf(
         """{"type":"noted"}""" to 0,
         """{"type":"noted","loads":[]}""" to 0,
-        """{"type":"noted","loads":[{"service":"s","room":1,"work":[{"priority":0,"withinMillis":1,"work":1.5}]}]}""" to 1,
+        """{"type":"noted","loads":[{"service":"s","reservable":1,"backfill":2,"work":[]}]}""" to 1,
     )
 
     /** Guards against an entry that cannot read the response of an owner of another build. */
