--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobPriority.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobPriority.kt
@@ -1,7 +1,10 @@
 package org.camphorhall.core.jobs
 
 /** A job and its place among the jobs that need room. */
-internal class RankedJob(val job: TrackedJob, val demand: JobDemand, val rank: RoomRank)
+internal class RankedJob(val job: TrackedJob, val demand: JobDemand, val rank: RoomRank) {
+    /** Whether the job gives way to others although it could meet its target, or be useful, alone. */
+    fun isDeferred(now: Long): Boolean = rank > rankAlone(demand, now)
+}
 
 /**
  * Sorts jobs by the priority of their class, then by [RoomRank], then by deadline. Jobs that can still meet their target
@@ -19,4 +22,8 @@
     return indices.map { RankedJob(this[it], demands[it], ranks[it]) }.sortedWith(rankComparator)
 }
 
-private val rankComparator = compareBy<RankedJob>({ it.demand.priority }, { it.rank }, { it.demand.deadline })
+private val rankComparator = compareBy<RankedJob>(
+    { it.demand.priority },
+    { it.rank },
+    { if (it.rank == RoomRank.OnTime) it.demand.deadline else it.demand.usefulUntil },
+)
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
@@ -127,7 +127,7 @@
             backfillCpuMillis = usable.sumOf { it.backfillCpu },
             unsavedJobs = unsaved.size,
             fitChecks = scheduling.fitChecks,
-            deferredJobs = scheduling.ranked.count { it.rank == RoomRank.Deferred && !it.job.phase.isFinal },
+            deferredJobs = scheduling.ranked.count { it.isDeferred(now) && !it.job.phase.isFinal },
             evacuatedWorkers = usable.count { !state.evacuations.allowStart(it, now) },
         )
     }
@@ -163,7 +163,7 @@
     public fun place(now: Long, wallMillis: Long) {
         val active = jobs.values.filter { !it.phase.isFinal }
         val assigned = scheduling.place(active, workers.values, state::currentClass, now, wallMillis)
-        scheduling.ranked.filter { it.rank == RoomRank.Deferred && !it.job.wasDeferred }.forEach { logDeferral(it, now) }
+        scheduling.ranked.filter { it.isDeferred(now) && !it.job.wasDeferred }.forEach { logDeferral(it, now) }
         for (t in assigned) {
             val job = jobs.getValue(t.ref.job)
             job.outbox += Outgoing.Start(t.ref, t.attempt)
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/OverloadOrder.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/OverloadOrder.kt
@@ -7,12 +7,12 @@
     /** The job can meet its target, and there is room for it. */
     OnTime,
 
-    /** The job could meet its target alone, but its delay costs less than that of the jobs before it. */
-    Deferred,
-
-    /** The target has passed or cannot be met any more; the result is still useful. */
+    /** The target is missed, or was given up for jobs that need less room. There is room while the result is useful. */
     Late,
 
+    /** The result could be useful, but its delay costs less than that of the jobs before it. */
+    Deferred,
+
     /** The result has become useless. */
     TooLate,
 }
@@ -29,66 +29,82 @@
 internal typealias RoomRanking = (jobs: List<JobDemand>, room: Room, now: Long) -> List<RoomRank>
 
 /**
- * Ranks [jobs] so that, within each priority, as many as possible meet their targets in the [room]. Higher priorities take
- * their room first.
+ * Ranks [jobs] so that, within each priority, as many as possible meet their targets in the [room], and as many of the
+ * others as possible end while they are useful. Higher priorities take their room first.
  *
  * Load pattern: for seconds, more work is due than the room can do, as in a burst of large jobs, after a loss of many
  * workers, or while a failure domain is evacuated. By deadlines alone every job then ends a little too late. Jobs are
- * taken by deadline, and whenever one of them would miss its target, the job that needs the most room is deferred (the
- * rule of Moore and Hodgson, which minimizes the number of late jobs). Jobs that have begun are never deferred, because
- * finishing them frees room sooner. While everything fits, nothing is deferred.
+ * taken by deadline, and whenever one of them would miss it, the job that needs the most room is left out (the rule of
+ * Moore and Hodgson, which minimizes the number of late jobs). What is left out is taken again, by the time until which
+ * it is useful. Jobs that have begun are never left out, because finishing them frees room sooner. While everything
+ * fits, nothing is left out.
  */
 internal fun rankByRoom(jobs: List<JobDemand>, room: Room, now: Long): List<RoomRank> {
-    val ranks = jobs.mapTo(ArrayList(jobs.size)) { rankAlone(it, now) }
+    val alone = jobs.map { rankAlone(it, now) }
     // Work of unknown size and tasks that run until their job is cancelled say nothing about the room that they need.
-    val onTime = jobs.indices.filter { ranks[it] == RoomRank.OnTime && jobs[it].remainingWork > 0 }
-        .sortedWith(compareBy({ jobs[it].priority }, { jobs[it].deadline }))
-    // Backfill tasks use what is not reserved, so that their jobs do not take the room of others.
-    val reserving = Packing(room.reservable)
-    val all = Packing(room.backfill)
-    for (i in onTime) {
-        val job = jobs[i]
-        val packings = if (job.isBackfill) listOf(all) else listOf(reserving, all)
-        val entry = Packing.Entry(job, i)
-        packings.forEach { it.add(entry) }
-        val packing = packings.first()
-        while (packing.exceeds(job.deadline - now)) {
-            val deferred = packing.largest() ?: break
-            reserving.remove(deferred)
-            all.remove(deferred)
-            ranks[deferred.index] = RoomRank.Deferred
-        }
+    val sized = jobs.indices.filter { jobs[it].remainingWork > 0 }
+    val ranks = alone.toMutableList()
+    for (ofPriority in sized.groupBy { jobs[it].priority }.toSortedMap().values) {
+        val packing = RoomPacking(room)
+        val before = sized.filter { jobs[it].priority < jobs[ofPriority.first()].priority }
+        before.filter { ranks[it] <= RoomRank.Late }.forEach { packing.reserve(jobs[it]) }
+        val (timely, late) = ofPriority.filter { alone[it] != RoomRank.TooLate }
+            .partition { alone[it] == RoomRank.OnTime }
+        val leftOut = packing.pack(timely, jobs) { jobs[it].deadline - now }
+        leftOut.forEach { ranks[it] = RoomRank.Late }
+        packing.pack(leftOut + late, jobs) { jobs[it].usefulUntil - now }.forEach { ranks[it] = RoomRank.Deferred }
     }
     return ranks
 }
 
-/** Work of jobs that is to be done in [room] thousandths of a core. */
-private class Packing(private val room: Long) {
-    class Entry(val job: JobDemand, val index: Int)
-
-    private val deferrable = PriorityQueue(
-        compareByDescending<Entry> { it.job.remainingWork }.thenByDescending { it.job.deadline }
-            .thenByDescending { it.index },
-    )
-    private var priority: Int? = null
+/** Work of jobs that is to be done in [room]. Backfill work takes no room from work that reserves its CPU. */
+private class RoomPacking(private val room: Room) {
+    private var reservedWork = 0.0
     private var work = 0.0
 
-    fun add(entry: Entry) {
-        // A job is not deferred for one of another priority.
-        if (entry.job.priority != priority) deferrable.clear()
-        priority = entry.job.priority
-        work += entry.job.remainingWork
-        if (!entry.job.hasBegun) deferrable += entry
+    /** Adds a job that is not left out. */
+    fun reserve(job: JobDemand) {
+        add(job, 1)
     }
 
-    /** Whether the work takes longer than [millis]. Never without room, which an owner may not know yet. */
-    fun exceeds(millis: Long): Boolean = room > 0 && millisFor(work, room) > millis
+    /**
+     * Adds the jobs with [indices] in [jobs], by the time in milliseconds that [limitOf] returns, and returns those that
+     * are left out.
+     */
+    fun pack(indices: List<Int>, jobs: List<JobDemand>, limitOf: (Int) -> Long): List<Int> {
+        val largestFirst = compareByDescending<Int> { jobs[it].remainingWork }.thenByDescending { limitOf(it) }
+            .thenByDescending { it }
+        val removable = PriorityQueue(largestFirst)
+        val removableReserving = PriorityQueue(largestFirst)
+        val leftOut = mutableListOf<Int>()
+        for (i in indices.sortedBy(limitOf)) {
+            val job = jobs[i]
+            add(job, 1)
+            if (!job.hasBegun) {
+                removable += i
+                if (!job.isBackfill) removableReserving += i
+            }
+            while (exceeds(job, limitOf(i))) {
+                val largest = (if (job.isBackfill) removable else removableReserving).peek() ?: break
+                removable.remove(largest)
+                removableReserving.remove(largest)
+                add(jobs[largest], -1)
+                leftOut += largest
+            }
+        }
+        return leftOut
+    }
 
-    /** The job that needs the most room of those that may be deferred. */
-    fun largest(): Entry? = deferrable.peek()
+    private fun add(job: JobDemand, sign: Int) {
+        work += sign * job.remainingWork
+        if (!job.isBackfill) reservedWork += sign * job.remainingWork
+    }
 
-    fun remove(entry: Entry) {
-        if (deferrable.remove(entry)) work -= entry.job.remainingWork
+    /** Whether the work before the end of [job] takes longer than [millis]. Never in an unknown room. */
+    private fun exceeds(job: JobDemand, millis: Long): Boolean = if (job.isBackfill) {
+        room.backfill > 0 && millisFor(work, room.backfill) > millis
+    } else {
+        room.reservable > 0 && millisFor(reservedWork, room.reservable) > millis
     }
 }
 
