Read the wall clock before the shard is loaded, and fix lines and files

Cause: ShardCandidateTest failed: its stalled clock stopped the load of a shard, during which an owner is not released.

Change: the owner reads the wall clock when it is created.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/Evacuations.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/Evacuations.kt
@@ -3,9 +3,10 @@
 /**
  * Failure domains that the operators evacuate: their workers get no new tasks. What runs there goes on.
  *
- * Load pattern: a whole failure domain is taken out of use while tasks wait, are being assigned and are being started. A
- * start leaves the owner only while the state is known to be recent, because an owner that cannot read it may have missed
- * an evacuation. The lease of a worker limits how long a start may be under way: without one, an agent sends none.
+ * Load pattern: a whole failure domain is taken out of use while tasks wait, are being assigned and are being started.
+ * A start leaves the owner only while the state is known to be recent, because an owner that cannot read it may have
+ * missed an evacuation. The lease of a worker limits how long a start may be under way: without one, an agent sends
+ * none.
  *
  * [maxAgeMillis] is the greatest age of the state that allows starts; null if the platform has no evacuations.
  */
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobDemand.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobDemand.kt
@@ -1,8 +1,8 @@
 package org.camphorhall.core.jobs
 
 /**
- * What a job still needs, and when: the input of the decisions under overload. Times are in milliseconds of one monotonic
- * clock, work is in core-milliseconds.
+ * What a job still needs, and when: the input of the decisions under overload. Times are in milliseconds of one
+ * monotonic clock, work is in core-milliseconds.
  */
 internal data class JobDemand(
     /** Priority of the class; 0 is the most urgent. */
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
@@ -60,8 +60,8 @@
 
     /**
      * Restores the [stored] jobs after this process became the owner. Attempts on a worker that does not report are
-     * assumed to run until [leasesEndAt]. With [wallMillis], in milliseconds since 1970, jobs keep the time at which they
-     * were accepted, so that those which have waited too long do not take the room of later ones.
+     * assumed to run until [leasesEndAt]. With [wallMillis], in milliseconds since 1970, jobs keep the time at which
+     * they were accepted, so that those which have waited too long do not take the room of later ones.
      */
     public fun recover(stored: List<StoredJob>, leasesEndAt: Long, now: Long, wallMillis: Long? = null) {
         state.completeFrom = now + settings.grantedLeaseMillis
@@ -174,13 +174,14 @@
     private fun logDeferral(r: RankedJob, now: Long) {
         r.job.wasDeferred = true
         val d = r.demand
-        val detail = "priority ${d.priority}, target in ${d.deadline - now} ms, needs ${d.remainingWork.toLong()} core-ms"
+        val work = d.remainingWork.toLong()
+        val detail = "priority ${d.priority}, target in ${d.deadline - now} ms, needs $work core-ms"
         state.logEvent("job deferred", job = r.job.record.id, detail = detail)
     }
 
     /**
-     * The accepted work and the room for it, of the services whose work takes [minBacklogMillis] or more. Empty until all
-     * workers had the time to report to this owner: a part of the room would make the work look too large.
+     * The accepted work and the room for it, of the services whose work takes [minBacklogMillis] or more. Empty until
+     * all workers had the time to report to this owner: a part of the room would make the work look too large.
      */
     public fun loads(now: Long, minBacklogMillis: Long): List<ShardLoad> {
         if (now < state.completeFrom) return emptyList()
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/OverloadOrder.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/OverloadOrder.kt
@@ -68,8 +68,8 @@
     }
 
     /**
-     * Adds the jobs with [indices] in [jobs], by the time in milliseconds that [limitOf] returns, and returns those that
-     * are left out.
+     * Adds the jobs with [indices] in [jobs], by the time in milliseconds that [limitOf] returns, and returns those
+     * that are left out.
      */
     fun pack(indices: List<Int>, jobs: List<JobDemand>, limitOf: (Int) -> Long): List<Int> {
         val largestFirst = compareByDescending<Int> { jobs[it].remainingWork }.thenByDescending { limitOf(it) }
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/RejectedPlacements.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/RejectedPlacements.kt
@@ -3,8 +3,8 @@
 import org.camphorhall.core.model.Resources
 
 /**
- * Remembers the requirements of tasks that fit on no healthy worker. In the same placement pass another task with the same
- * requirements does not fit either. In later passes only the workers that may have got more room since are checked
+ * Remembers the requirements of tasks that fit on no healthy worker. In the same placement pass another task with the
+ * same requirements does not fit either. In later passes only the workers that may have got more room since are checked
  * again, for [RECHECK_MILLIS]: the forecasts of all workers change slowly with what is learned of the images.
  *
  * Load pattern: hundreds of tasks end each second while tens of jobs wait, each with requirements of its own. Checking
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/Stragglers.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/Stragglers.kt
@@ -75,8 +75,8 @@
     private const val MIN_STALLED = 2
 
     /**
-     * A task is stalled if its progress did not change for the longest start, [STALLED_MILLIS] and the estimated time of
-     * [STALLED_EXPECTED_PERCENT] of its work: estimates can be several times too low.
+     * A task is stalled if its progress did not change for the longest start, [STALLED_MILLIS] and the estimated time
+     * of [STALLED_EXPECTED_PERCENT] of its work: estimates can be several times too low.
      */
     private const val STALLED_MILLIS = 1_000L
     private const val STALLED_EXPECTED_PERCENT = 20
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TaskScheduling.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TaskScheduling.kt
@@ -54,8 +54,8 @@
     }
 
     /**
-     * Ranks all [jobs] by service, since those that only run need room too. The order is kept for [RANKING_MILLIS] unless
-     * there is another job.
+     * Ranks all [jobs] by service, since those that only run need room too. The order is kept for [RANKING_MILLIS]
+     * unless there is another job.
      */
     private fun rank(
         jobs: List<TrackedJob>,
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/JobAdmissionTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/JobAdmissionTest.kt
@@ -10,8 +10,8 @@
 import strikt.assertions.isEqualTo
 
 /**
- * Tests which jobs are turned away. A job of the cases takes 1 s, has a target of 1.75 s and is useful for 5.25 s; there
- * are 10 cores to reserve and 20 for backfill work.
+ * Tests which jobs are turned away. A job of the cases takes 1 s, has a target of 1.75 s and is useful for 5.25 s;
+ * there are 10 cores to reserve and 20 for backfill work.
  */
 internal class JobAdmissionTest {
     private fun load(vararg work: DueWork, room: Long = 10_000) = ShardLoad("service", room, room * 2, work.toList())
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/JobPriorityTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/JobPriorityTest.kt
@@ -23,7 +23,9 @@
             job("in time, sooner", arrivedAt = 9_900, estimate = 1_000),
             job("urgent class", arrivedAt = 0, estimate = 1_000, priority = -1),
         )
-        val ordered = jobs.sortedByPriority(now = 10_000, room = Room(10_000, 10_000)) { it.record.jobClass.priority }.map { it.job.record.id }
+        val room = Room(10_000, 10_000)
+        val ordered = jobs.sortedByPriority(now = 10_000, room) { it.record.jobClass.priority }
+            .map { it.job.record.id }
         expectThat(ordered).containsExactly("urgent class", "in time, sooner", "in time, later", "late", "useless")
     }
 }
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/OverloadOrderTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/OverloadOrderTest.kt
@@ -59,7 +59,8 @@
     @Test
     fun `the jobs that need the most room are deferred, and only where targets would be missed`() {
         for ((name, case) in cases) {
-            expectThat(rankByRoom(case.jobs, Room(10_000, 20_000), now = 0).text()).describedAs(name).isEqualTo(case.ranks)
+            val ranks = rankByRoom(case.jobs, Room(10_000, 20_000), now = 0)
+            expectThat(ranks.text()).describedAs(name).isEqualTo(case.ranks)
         }
     }
 
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/replay/OverloadReplayTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/replay/OverloadReplayTest.kt
@@ -45,8 +45,9 @@
         val served get() = large.served()
         val largestTenthServed get() = large.takeLast(large.size / 10).served()
 
-        override fun toString() = "urgent in time %.2f; others in time %.2f, smaller half %.2f; useful %.2f, largest %.2f"
-            .format(urgentInTime, inTime, smallestHalfInTime, served, largestTenthServed)
+        override fun toString() =
+            "urgent in time %.2f; others in time %.2f, smaller half %.2f; useful %.2f, largest %.2f"
+                .format(urgentInTime, inTime, smallestHalfInTime, served, largestTenthServed)
     }
 
     private fun arrivals(seed: Int): List<Arrival> {
@@ -108,7 +109,7 @@
 
     private val byDeadline: RoomRanking = { jobs, _, now -> jobs.map { rankAlone(it, now) } }
 
-    /** Guards against an overload that makes most jobs late, against lost jobs, and against large jobs that never end. */
+    /** Guards against an overload that makes most jobs late, lost jobs, and large jobs that never end. */
     @Test
     fun `more jobs are in time than by deadlines alone, and no size is left out`() {
         val seeds = 1..SEEDS
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
@@ -46,6 +46,8 @@
     private val sessions = ConcurrentHashMap<Long, AgentSession>()
     private val epoch = ownership.epoch
     private var healthPaths = emptyMap<String, String>()
+    private val acquiredAt = clock.steady()
+    private val acquiredWall = clock.wall()
     private var isWriting = false
     private var loads = emptyList<ShardLoad>()
     private var loadsAt = Long.MIN_VALUE / 2
@@ -85,7 +87,7 @@
         val loaded = load()
         val now = clock.steady()
         val leasesEndAt = now + graceMillis + settings.leaseMillis + settings.leaseSlackMillis
-        shard.recover(loaded.jobs, leasesEndAt, now, clock.wall())
+        shard.recover(loaded.jobs, leasesEndAt, now, acquiredWall + (now - acquiredAt))
         logger.event(
             Level.INFO,
             "shard loaded",
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/entry/OverloadViewTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/entry/OverloadViewTest.kt
@@ -85,7 +85,8 @@
     fun `responses with and without loads are read`() {
         for ((text, loads) in responses) {
             val response = documentJson.decodeFromString(OwnerResponse.serializer(), text)
-            expectThat(response).describedAs(text).isA<OwnerResponse.Acknowledged>().get { this.loads.size }.isEqualTo(loads)
+            expectThat(response).describedAs(text).isA<OwnerResponse.Acknowledged>()
+                .get { this.loads.size }.isEqualTo(loads)
         }
     }
 }
