--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobDemand.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobDemand.kt
@@ -15,6 +15,8 @@
     val remainingPathMillis: Long,
     /** Estimated work of the tasks that are not done. */
     val remainingWork: Double,
+    /** Estimated work of all tasks. */
+    val totalWork: Double,
     /** Whether enough of the job is done or runs that finishing it frees room sooner than beginning another one. */
     val hasBegun: Boolean,
     /** Whether the work runs on CPU that other tasks leave unused, and reserves none. */
@@ -30,6 +32,7 @@
         usefulUntil = arrivedAt + target * MAX_USEFUL_TARGETS,
         remainingPathMillis = remainingPathMillis(),
         remainingWork = remainingWork(),
+        totalWork = spec.work() * spec.occurrences,
         hasBegun = hasBegun(),
         isBackfill = spec.isBackfill,
     )
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobSpec.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobSpec.kt
@@ -103,6 +103,9 @@
 internal fun millisFor(work: Double, room: Long): Long =
     (work * MILLIS_PER_CORE / room).coerceAtMost(LONGEST_MILLIS).toLong()
 
+/** Work, in core-milliseconds, that [room] thousandths of a core do in [millis]. */
+internal fun workIn(millis: Long, room: Long): Double = millis.toDouble() * room / MILLIS_PER_CORE
+
 private const val MILLIS_PER_CORE = 1_000
 
 /** Three thousand years; a sum of it and a time does not overflow. */
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedWorker.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedWorker.kt
@@ -80,6 +80,24 @@
     /** CPU that the serving tasks leave unused of their demand, in thousandths of a core. */
     val unusedServingCpu: Long get() = servingCpu * UNUSED_PERCENT / FULL_PERCENT
 
+    /** CPU that jobs can reserve: all but the demand of tasks that run until their job is cancelled. */
+    val reservableCpu: Long
+        get() {
+            val lasting = assigned.values.filter { it.spec.longRunning }.sumOf { it.spec.reserved.cpuMillis }
+            return (profile.capacity.cpuMillis - lasting).coerceAtLeast(0)
+        }
+
+    /**
+     * CPU that backfill tasks can use: what they use where they are throttled, otherwise what is not reserved and what
+     * the serving tasks leave unused.
+     */
+    val backfillRoom: Long
+        get() {
+            val backfill = assigned.values.filter { it.spec.backfill }
+            val isThrottled = backfill.any { t -> t.share.let { it != null && it < UNTHROTTLED_SHARE } }
+            return if (isThrottled) backfill.sumOf { it.usedCpu } else reservableCpu + unusedServingCpu
+        }
+
     /** Assigned tasks with a latency target. */
     val serving: List<TrackedTask> get() = assigned.values.filter { it.spec.isServing }
 
@@ -145,6 +163,9 @@
     private companion object {
         const val FULL_PERCENT = 100
 
+        /** Share in percent from which a backfill task runs nearly at full speed. */
+        const val UNTHROTTLED_SHARE = 80
+
         /**
          * Part of their CPU demand that serving tasks are assumed to leave unused, in percent, as a reserve for load
          * fluctuations. If they use more, backfill tasks get less than their demand.
@@ -154,10 +175,5 @@
 }
 
 /** The room that jobs share on [workers]. */
-internal fun roomOn(workers: Collection<TrackedWorker>): Room {
-    val reservable = workers.sumOf { w ->
-        val lasting = w.assigned.values.filter { it.spec.longRunning }.sumOf { it.spec.reserved.cpuMillis }
-        (w.profile.capacity.cpuMillis - lasting).coerceAtLeast(0)
-    }
-    return Room(reservable, reservable + workers.sumOf { it.unusedServingCpu })
-}
+internal fun roomOn(workers: Collection<TrackedWorker>): Room =
+    Room(workers.sumOf { it.reservableCpu }, workers.sumOf { it.backfillRoom })
