--- a/core/src/main/kotlin/org/camphorhall/core/jobs/OverloadOrder.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/OverloadOrder.kt
@@ -19,7 +19,7 @@
 internal data class Room(
     /** CPU that tasks can reserve: all but the demand of tasks that run until their job is cancelled. */
     val reservable: Long,
-    /** CPU for backfill tasks: [reservable], and what they get beside serving tasks. */
+    /** CPU for backfill tasks: [reservable], and what the serving tasks leave unused of their demand. */
     val backfill: Long,
 )
 
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/RoomPacking.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/RoomPacking.kt
@@ -41,8 +41,8 @@
     }
 
     /**
-     * Takes the jobs with [indices] by the time in milliseconds that [limitOf] returns, beside what is [used], and leaves
-     * out those that do not fit, so that it costs callers least.
+     * Takes the jobs with [indices] by the time in milliseconds that [limitOf] returns, beside what is [used], and
+     * leaves out those that do not fit, so that it costs callers least.
      */
     fun pack(indices: List<Int>, used: UsedRoom, limitOf: (Int) -> Long): PackedRoom =
         listOf(cheapestThatSuffices, cheapestForItsRoom).map { pack(indices, used, limitOf, it) }
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedWorker.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedWorker.kt
@@ -87,17 +87,6 @@
             return (profile.capacity.cpuMillis - lasting).coerceAtLeast(0)
         }
 
-    /**
-     * CPU that backfill tasks can use: what they use where they are throttled, otherwise what is not reserved and what
-     * the serving tasks leave unused.
-     */
-    val backfillRoom: Long
-        get() {
-            val backfill = assigned.values.filter { it.spec.backfill }
-            val isThrottled = backfill.any { t -> t.share.let { it != null && it < UNTHROTTLED_SHARE } }
-            return if (isThrottled) backfill.sumOf { it.usedCpu } else reservableCpu + unusedServingCpu
-        }
-
     /** Assigned tasks with a latency target. */
     val serving: List<TrackedTask> get() = assigned.values.filter { it.spec.isServing }
 
@@ -163,9 +152,6 @@
     private companion object {
         const val FULL_PERCENT = 100
 
-        /** Share in percent from which a backfill task runs nearly at full speed. */
-        const val UNTHROTTLED_SHARE = 80
-
         /**
          * Part of their CPU demand that serving tasks are assumed to leave unused, in percent, as a reserve for load
          * fluctuations. If they use more, backfill tasks get less than their demand.
@@ -176,4 +162,4 @@
 
 /** The room that jobs share on [workers]. */
 internal fun roomOn(workers: Collection<TrackedWorker>): Room =
-    Room(workers.sumOf { it.reservableCpu }, workers.sumOf { it.backfillRoom })
+    Room(workers.sumOf { it.reservableCpu }, workers.sumOf { it.reservableCpu + it.unusedServingCpu })
