--- a/review/standins-3/Http.java
+++ b/review/standins-3/Http.java
@@ -48,7 +48,7 @@
     }
 
     static HttpServer serve(int port, Handler handler) throws IOException {
-        HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", port), 200);
+        HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", port), 4_000);
         server.setExecutor(Executors.newCachedThreadPool(r -> {
             Thread t = new Thread(r);
             t.setDaemon(true);
