Let the stand-in of the store carry writes out late

The platform may execute a write that got no response seconds later, if its condition still holds. The stand-in could lose a response or delay every request, but not lose and delay a share of the writes, so no test of ours met such a write. latePercent and lateMillis do that. FleetStoreAdapterTest checks both outcomes: a late write takes effect while its condition holds, and has none once the key was written.

--- a/dev/src/main/kotlin/org/camphorhall/dev/http/FaultInjector.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/http/FaultInjector.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
+import kotlin.random.Random
 
 /** Applies the active faults to requests. [onChange] runs after each change, with the faults as they were set. */
 internal class FaultInjector(private val onChange: suspend (Faults) -> Unit = {}) {
@@ -28,6 +29,13 @@
         val before = active
         if (before.silent || isStop && before.dropStops) return awaitDisconnect()
         if (before.outage) return unavailable()
+        if (isMutating && Random.nextInt(PERCENT) < before.latePercent) {
+            withContext(NonCancellable) {
+                delay(before.lateMillis)
+                handle()
+            }
+            return awaitDisconnect()
+        }
         if (isMutating) {
             // A mutating request takes effect after the delay even if its caller disconnects in the meantime.
             val response = withContext(NonCancellable) {
@@ -46,4 +54,8 @@
     private suspend fun awaitDisconnect(): Nothing = awaitCancellation()
 
     private fun unavailable() = BufferedResponse.error(503, "outage")
+
+    private companion object {
+        const val PERCENT = 100
+    }
 }
--- a/dev/src/main/kotlin/org/camphorhall/dev/http/Faults.kt
+++ b/dev/src/main/kotlin/org/camphorhall/dev/http/Faults.kt
@@ -13,6 +13,10 @@
     /** Mutating requests take effect, but their responses are never sent. */
     @SerialName("dropAnswers")
     val dropResponses: Boolean = false,
+    /** Share of the mutating requests, in percent, that never receive a response and take effect after [lateMillis]. */
+    val latePercent: Int = 0,
+    /** Delay of the requests of [latePercent], in milliseconds. */
+    val lateMillis: Long = 0,
     /** Requests are accepted, have no effect and never receive a response. */
     val silent: Boolean = false,
     /** Ends all leases once, when it is set. Supported by the key-value services only. */
--- a/dev/src/test/kotlin/org/camphorhall/dev/fleet/FleetStoreAdapterTest.kt
+++ b/dev/src/test/kotlin/org/camphorhall/dev/fleet/FleetStoreAdapterTest.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.getOrElse
 import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import org.camphorhall.dev.http.TestServer
 import org.camphorhall.platform.fleet.fleetOperatorConfig
@@ -96,8 +97,31 @@
         """{"outage":true}""" to { it is StoreError.Unavailable },
         """{"dropAnswers":true}""" to { it is StoreError.Uncertain },
         """{"silent":true}""" to { it is StoreError.Uncertain },
+        """{"latePercent":100,"lateMillis":5000}""" to { it is StoreError.Uncertain },
     )
 
+    private class LateCase(val isChangedMeanwhile: Boolean, val expected: String)
+
+    private val lateCases = mapOf(
+        "the condition still holds" to LateCase(isChangedMeanwhile = false, "late"),
+        "the condition holds no more" to LateCase(isChangedMeanwhile = true, "meanwhile"),
+    )
+
+    /** Guards against tests of late writes that pass because the stand-in drops them or ignores their conditions. */
+    @Test
+    fun `a late write takes effect after its caller has given up if its condition still holds`() = runBlocking<Unit> {
+        val faults = """{"latePercent":100,"lateMillis":4500}"""
+        for ((name, case) in lateCases) {
+            service.faults.set(org.camphorhall.dev.http.BufferedResponse.format.decodeFromString(faults))
+            expectThat(store.write(name, "late", 0).leftOrNull()).describedAs(name).isA<StoreError.Uncertain>()
+            service.faults.set(org.camphorhall.dev.http.Faults())
+            expectThat(store.get(name).getOrNull()).describedAs(name).isNull()
+            if (case.isChangedMeanwhile) store.write(name, "meanwhile", 0)
+            delay(2_500.milliseconds)
+            expectThat(store.get(name).getOrNull()?.value?.decodeToString()).describedAs(name).isEqualTo(case.expected)
+        }
+    }
+
     /** Guards against a write that is reported as rejected although it may have been committed. */
     @Test
     fun `only a rejected write is reported as not committed`() = runBlocking<Unit> {
