Fence the creations of a shard when an unknown job is cancelled

DELETE at edge-1 read that the record is absent and answered 410 at 5,279 ms without writing anything. The store carried the first try out at 7,351 ms, since its only condition, that the record is absent, still held; its tasks started at 7,566 ms. No process knows of writes that wait in the store or in another entry, so a read of "absent" proves nothing.

Change: each shard has a fence record, and every creation of a job is conditional on its revision as well. A cancellation of an unknown job writes the fence, on the condition that the job is absent, and adds the id to it. That ends all creations that are under way anywhere, at a cost that does not depend on them, and lasts beyond every process. - A submission whose fence is superseded reads the newer one from the conflict. It answers 410 if its job was withdrawn and tries again otherwise, but only while its own time lasts: a request that was held up may be older than a withdrawal that the fence has forgotten. The owner's process writes with the revision that the entry sent. - The owner lets the fence forget an id 150 s after it read it, and advances the fence before it deletes the records of finished jobs, so that no creation outlives the record that forbids it. The fence itself is never deleted, since its revision must not return to an earlier one. - The fence names at most 1,024 ids (20 KB). Beyond that a cancellation of an unknown job is refused with 503 after two reads, and does not open the breaker of the store. Ids that no job can have are answered 410 without a call.

RecordDeletionTest now expects the fence, and nothing else, under the prefix of the inbox.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
@@ -20,6 +20,8 @@
     /** Arrival times of cancellations, by the ids of jobs whose own notices may be slower. */
     private val earlyCancellations = HashMap<String, Long>()
 
+    private val withdrawn = WithdrawnJobs(settings.retentionMillis)
+
     /** Ids of the jobs whose records are being written. */
     private var committing: Set<String> = emptySet()
     private val scheduling =
@@ -102,6 +104,12 @@
         return true
     }
 
+    /** Replaces the [ids] of jobs that were cancelled before they were stored, as read from the store at [now]. */
+    public fun withdraw(ids: Set<String>, now: Long): Unit = withdrawn.update(ids, now)
+
+    /** Ids of withdrawn jobs that the store need not name any more, because their retention time has passed. */
+    public fun expiredWithdrawals(now: Long): Set<String> = withdrawn.expired(now)
+
     /** Phase of a job that may be reported to callers; null if there is no such job. */
     public fun phaseOf(id: String): JobPhase? = jobs[id]?.visiblePhase
 
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShardSettings.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShardSettings.kt
@@ -21,10 +21,15 @@
     /** Longest time for a worker to start a task from a checkpoint. */
     val restoreMillis: Long = 600,
     /**
-     * How long finished jobs are retained; callers may query them for two minutes after the end, which they may learn
-     * late.
+     * How long finished and withdrawn jobs are retained; callers may query them for two minutes after the end, which
+     * they may learn late.
      */
     val retentionMillis: Long = 150_000,
+    /**
+     * Minimum time between two deletions of expired records. Each advances the fence of the shard, after which every
+     * entry repeats one creation.
+     */
+    val cleanupIntervalMillis: Long = 10_000,
     /**
      * Time from the acknowledgement of an evacuation within which starts in the failure domain have to cease; null if
      * the platform has no evacuations.
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/RecordWriter.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/RecordWriter.kt
@@ -39,7 +39,7 @@
         var isUncertain = false
         while (true) {
             val storeResult = writeDirectly(direct)
-            if (storeResult.isFinal) return storeResult
+            if (storeResult.isFinal) return storeResult.unlessPending(isUncertain)
             isUncertain = isUncertain || storeResult is WriteResult.Unknown
             val remaining = deadline - clock.steady()
             if (remaining <= 0) {
@@ -47,7 +47,8 @@
             }
             val ownerResult = writeThroughOwner(minOf(remaining, OWNER_TIMEOUT_MILLIS).milliseconds, throughOwner)
             if (ownerResult.isFinal) {
-                return ownerResult.also { logger.event(Level.INFO, "record written through the owner") }
+                logger.event(Level.INFO, "request handled through the owner", "result" to ownerResult)
+                return ownerResult.unlessPending(isUncertain)
             }
             isUncertain = isUncertain || ownerResult is WriteResult.Unknown
             if (!isUncertain) return storeResult
@@ -80,7 +81,17 @@
         return result
     }
 
-    private val WriteResult.isFinal: Boolean get() = this == WriteResult.Stored || this == WriteResult.NoSuchJob
+    /** Whether further tries cannot change the response. */
+    private val WriteResult.isFinal: Boolean
+        get() = when (this) {
+            WriteResult.Stored, WriteResult.NoSuchJob, WriteResult.Withdrawn -> true
+            is WriteResult.Superseded, is WriteResult.LimitReached -> true
+            is WriteResult.Refused, is WriteResult.Unknown -> false
+        }
+
+    /** A limit says nothing about earlier tries, of which one may be committed if [isUncertain]. */
+    private fun WriteResult.unlessPending(isUncertain: Boolean): WriteResult =
+        if (isUncertain && this is WriteResult.LimitReached) WriteResult.Unknown(detail) else this
 
     private companion object {
         /** Delay before a write whose outcome is unknown is retried. */
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerEntry.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerEntry.kt
@@ -69,6 +69,7 @@
         writer = RecordWriter(clock),
         isConfigFresh = { clock.steady() - config.lastReadAt < options.maxConfigAgeMillis },
         overload = overload,
+        shards = options.shards,
     )
     private val server = httpServer(
         mapOf(
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerJobIntake.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerJobIntake.kt
@@ -16,7 +16,9 @@
 import org.camphorhall.process.event
 import org.camphorhall.scheduler.protocol.OwnerRequest
 import org.camphorhall.scheduler.support.Clock
+import org.camphorhall.scheduler.support.ClockReading
 import org.camphorhall.scheduler.support.JobRecordStore
+import org.camphorhall.scheduler.support.ShardKeys
 import org.camphorhall.scheduler.support.WriteResult
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -37,7 +39,9 @@
     /** Whether the configuration is recent enough to be treated as the newest one. */
     private val isConfigFresh: () -> Boolean,
     private val overload: OverloadView,
+    private val shards: Int,
 ) : JobIntake {
+    private val fences = FenceCache(shards)
     private val retryAfter = RetryAfter()
     private val requestCount = AtomicInteger()
     private val finalPhases = FinalPhaseCache()
@@ -75,28 +79,38 @@
         config: OperatorConfig,
         startedAt: Long,
     ): IntakeResponse {
+        val arrival = ClockReading(clock)
         val deadline = startedAt + timeoutMillis(request, jobClass)
         return when (request) {
             is IntakeRequest.Submit -> when {
                 request.bodyBytes > config.maxBodyBytes -> IntakeResponse.TooLarge
                 !isJobId(id) -> IntakeResponse.Invalid("not a job id")
                 !isConfigFresh() -> rejected("the configuration may have changed")
-                else -> request.spec?.let { submit(JobRecord(id, it, jobClass, clock.wall()), deadline) }
+                else -> request.spec?.let { submit(JobRecord(id, it, jobClass, clock.wall()), deadline, arrival) }
                     ?: IntakeResponse.Invalid("not a valid job")
             }
             is IntakeRequest.Show -> if (id.isEmpty()) waitingJobs(jobClass) else show(id)
-            is IntakeRequest.Cancel -> cancel(id, deadline)
+            // No job has such an id, and the fence has no room for arbitrary ones.
+            is IntakeRequest.Cancel -> if (isJobId(id)) cancel(id, deadline) else IntakeResponse.UnknownJob
         }
     }
 
-    private suspend fun submit(record: JobRecord, deadline: Long): IntakeResponse {
+    private suspend fun submit(record: JobRecord, deadline: Long, arrival: ClockReading): IntakeResponse {
         val forecast = overload.forecast(record)
         if (forecast is AdmissionForecast.TooLate && isNew(record.id)) return overloaded(record.id, forecast)
+        val submission = FencedSubmission(fences, ShardKeys.shardOf(record.id, shards), record.id) {
+            clock.steady() < deadline && !arrival.mayHaveBeenSuspended()
+        }
         return responseOf(
             writer.write(
                 deadline,
-                direct = { records.store(record).notifyOwner(record.id, OwnerRequest.JobStored(record)) },
-                throughOwner = { owners.write(record.id, OwnerRequest.StoreJob(record), it) },
+                direct = {
+                    submission.write { fence -> records.store(record, fence) }
+                        .notifyOwner(record.id, OwnerRequest.JobStored(record))
+                },
+                throughOwner = { timeout ->
+                    submission.write { fence -> owners.write(record.id, OwnerRequest.StoreJob(record, fence), timeout) }
+                },
             ),
         )
     }
@@ -125,6 +139,9 @@
     private fun responseOf(r: WriteResult): IntakeResponse = when (r) {
         WriteResult.Stored -> IntakeResponse.Done
         WriteResult.NoSuchJob -> IntakeResponse.UnknownJob
+        WriteResult.Withdrawn -> IntakeResponse.Withdrawn
+        is WriteResult.Superseded -> rejected("the fence of the shard changed meanwhile")
+        is WriteResult.LimitReached -> rejected(r.detail)
         is WriteResult.Refused -> rejected(r.detail)
         is WriteResult.Unknown -> IntakeResponse.Unknown(r.detail)
     }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/OwnerEvent.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/OwnerEvent.kt
@@ -17,7 +17,12 @@
 
     class RequestReceived(val request: OwnerRequest, val response: CompletableDeferred<OwnerResponse>) : OwnerEvent
 
-    class InboxUpdated(val jobs: List<JobRecord>, val cancelled: List<String>) : OwnerEvent
+    /** [withdrawn] are all ids that the fence names; null if it has not changed. */
+    class InboxUpdated(
+        val jobs: List<JobRecord>,
+        val cancelled: List<String>,
+        val withdrawn: Set<String>? = null,
+    ) : OwnerEvent
 
     class Configured(val config: OperatorConfig) : OwnerEvent
 
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/SchedulerService.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/SchedulerService.kt
@@ -72,7 +72,7 @@
 
     private suspend fun respond(request: OwnerRequest): OwnerResponse = when (request) {
         is OwnerRequest.StoreJob -> {
-            val result = records.store(request.record)
+            val result = request.fence?.let { records.store(request.record, it) } ?: records.store(request.record)
             if (result == WriteResult.Stored) notifyOwner(listOf(request.record), emptyList())
             OwnerResponse.WriteOutcome(result)
         }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
@@ -39,8 +39,8 @@
     private val shard = JobShard(settings)
     private val events = Channel<OwnerEvent>(Channel.UNLIMITED)
 
-    /** Finished jobs whose records are to be deleted. */
-    private val expiredJobs = Channel<List<String>>(Channel.UNLIMITED)
+    private val cleanups = Channel<Cleanup>(Channel.UNLIMITED)
+    private var cleanedAt: Long? = null
 
     /** Connections of agents. Also read by [close], which runs concurrently with the loop. */
     private val sessions = ConcurrentHashMap<Long, AgentSession>()
@@ -88,6 +88,7 @@
         val now = clock.steady()
         val leasesEndAt = now + graceMillis + settings.leaseMillis + settings.leaseSlackMillis
         shard.recover(loaded.jobs, leasesEndAt, now, acquiredWall + (now - acquiredAt))
+        shard.withdraw(loaded.withdrawn, now)
         logger.event(
             Level.INFO,
             "shard loaded",
@@ -100,7 +101,7 @@
         launch { watchInbox(loaded.revision) }
         launch { sendTicks() }
         launch { requestSummaries() }
-        launch { deleteExpired() }
+        launch { cleanUp() }
         while (!isClosed) {
             handle(events.receive())
             var next = events.tryReceive().getOrNull()
@@ -152,8 +153,8 @@
                 },
                 { change ->
                     revision = change.revision
-                    if (change.jobs.isNotEmpty() || change.cancelled.isNotEmpty()) {
-                        send(OwnerEvent.InboxUpdated(change.jobs, change.cancelled))
+                    if (change.jobs.isNotEmpty() || change.cancelled.isNotEmpty() || change.withdrawn != null) {
+                        send(OwnerEvent.InboxUpdated(change.jobs, change.cancelled, change.withdrawn))
                     }
                 },
             )
@@ -165,7 +166,8 @@
     private suspend fun relist(): Long? {
         val all = records.load().getOrNull() ?: return null
         val jobs = all.unfinishedJobs
-        send(OwnerEvent.InboxUpdated(jobs.map { it.record }, jobs.filter { it.cancelled }.map { it.record.id }))
+        val cancelled = jobs.filter { it.cancelled }.map { it.record.id }
+        send(OwnerEvent.InboxUpdated(jobs.map { it.record }, cancelled, all.withdrawn))
         return all.revision
     }
 
@@ -183,9 +185,24 @@
         }
     }
 
-    /** Deletes records beside the loop, which must not wait for the store. */
-    private suspend fun deleteExpired() {
-        for (jobs in expiredJobs) records.delete(jobs, ownership.epochRevision)
+    /**
+     * Deletes records beside the loop, which must not wait for the store. The fence is advanced first: it ends
+     * creations that are still under way and could be committed once the records that prevent them are gone.
+     */
+    private suspend fun cleanUp() {
+        for (c in cleanups) {
+            if (!records.advanceFence(c.withdrawn, ownership.epochRevision)) return
+            records.delete(c.jobs, ownership.epochRevision)
+        }
+    }
+
+    /** Requests the deletion of expired records, at most once in the interval of the settings. */
+    private fun requestCleanup(now: Long) {
+        if (cleanedAt?.let { now - it < settings.cleanupIntervalMillis } == true) return
+        val cleanup = Cleanup(shard.expire(now), shard.expiredWithdrawals(now))
+        if (cleanup.jobs.isEmpty() && cleanup.withdrawn.isEmpty()) return
+        cleanedAt = now
+        cleanups.trySend(cleanup)
     }
 
     private fun logSummary(s: ShardSummary) {
@@ -221,6 +238,7 @@
             is OwnerEvent.InboxUpdated -> {
                 e.jobs.forEach { shard.accept(it, now) }
                 e.cancelled.forEach { shard.cancel(it, now) }
+                e.withdrawn?.let { shard.withdraw(it, now) }
             }
             is OwnerEvent.Configured -> {
                 healthPaths = e.config.healthPaths
@@ -232,8 +250,7 @@
             OwnerEvent.Tick -> {
                 tickedAt = now
                 shard.tick(now)
-                val expired = shard.expire(now)
-                if (expired.isNotEmpty()) expiredJobs.trySend(expired)
+                requestCleanup(now)
             }
         }
     }
@@ -336,6 +353,9 @@
         }
     }
 
+    /** Finished jobs whose records are to be deleted, and withdrawn ids that the fence is to forget. */
+    private class Cleanup(val jobs: List<String>, val withdrawn: Set<String>)
+
     private companion object {
         /** Longer than the timeout of any sender. A request without a response by then was sent to an ended loop. */
         val RESPONSE_TIMEOUT = 2_000.milliseconds
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardStore.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardStore.kt
@@ -20,14 +20,15 @@
 import org.camphorhall.scheduler.protocol.documentDecoder
 import org.camphorhall.scheduler.protocol.documentJson
 import org.camphorhall.scheduler.support.ShardKeys
+import org.camphorhall.scheduler.support.toFence
 import kotlin.time.Duration.Companion.milliseconds
 
 private val logger = KotlinLogging.logger {}
 
 /** Reads and writes the stored records of one shard. */
 internal class ShardStore(private val store: TransactionalStore, private val keys: ShardKeys) {
-    /** All jobs of the shard as of [revision]. */
-    class Snapshot(val jobs: List<StoredJob>, val revision: Long) {
+    /** All jobs of the shard, and the ids of the [withdrawn] ones that were never stored, as of [revision]. */
+    class Snapshot(val jobs: List<StoredJob>, val withdrawn: Set<String>, val revision: Long) {
         /** Jobs to accept. A finished one may expire meanwhile, and would run again if it were accepted then. */
         val unfinishedJobs: List<StoredJob> get() = jobs.filterNot { it.progress?.phase?.isFinal ?: false }
 
@@ -46,7 +47,8 @@
             val entry = progress[record.id]
             StoredJob(record, entry?.let(::decodeProgress), entry?.version ?: 0, record.id in cancelled)
         }
-        return Snapshot(jobs, inbox.revision).right()
+        val withdrawn = inbox.items.firstOrNull { it.key == keys.fence }.toFence().fence.withdrawn
+        return Snapshot(jobs, withdrawn, inbox.revision).right()
     }
 
     /**
@@ -95,10 +97,30 @@
             InboxChange(
                 jobs = change.items.filter { keys.jobIdOf(it.key) != null }.mapNotNull(::decodeJob),
                 cancelled = change.items.mapNotNull { keys.cancelledJobIdOf(it.key) },
+                withdrawn = change.items.firstOrNull { it.key == keys.fence }?.toFence()?.fence?.withdrawn,
                 revision = change.revision,
             )
         }
 
+    /**
+     * Writes the fence without the [forgotten] ids, on the condition that the epoch key has [epochRevision], and
+     * retries until it is written. Returns false if another process owns the shard.
+     */
+    suspend fun advanceFence(forgotten: Set<String>, epochRevision: Long): Boolean {
+        while (true) {
+            val error = store.get(keys.fence).flatMap { entry ->
+                val current = entry.toFence()
+                val conditions = mapOf(keys.epoch to epochRevision, keys.fence to current.revision)
+                store.commit(StoreTransaction(conditions, listOf(current.fence.forget(forgotten).toWrite(keys.fence))))
+            }.leftOrNull() ?: return true
+            if (error is StoreError.Conflict && error.current.none { it.isEpochAt(epochRevision) }) return false
+            logger.event(Level.INFO, "fence not written yet", "reason" to error)
+            delay(MAX_RETRY_MILLIS.milliseconds)
+        }
+    }
+
+    private fun StoreEntry.isEpochAt(revision: Long) = key == keys.epoch && version == revision
+
     /** Deletes all records of the finished [jobs]. */
     suspend fun delete(jobs: List<String>, epochRevision: Long) {
         for (batch in jobs.chunked(JOBS_PER_DELETE)) {
@@ -141,5 +163,10 @@
     }
 }
 
-/** Jobs and cancellations that were added to a shard's inbox up to [revision]. */
-internal class InboxChange(val jobs: List<JobRecord>, val cancelled: List<String>, val revision: Long)
+/** Changes of a shard's inbox up to [revision]: new jobs and cancellations, and the withdrawn ids if these changed. */
+internal class InboxChange(
+    val jobs: List<JobRecord>,
+    val cancelled: List<String>,
+    val withdrawn: Set<String>?,
+    val revision: Long,
+)
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/protocol/OwnerRequest.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/protocol/OwnerRequest.kt
@@ -31,10 +31,13 @@
     @SerialName("waiting")
     class CountPending(val classId: String) : OwnerRequest
 
-    /** Requests that the owner stores a job, because the sender cannot reach the store. */
+    /**
+     * Requests that the owner stores a job, because the sender cannot reach the store. The write is conditional on the
+     * revision [fence] of the fence; entries of earlier builds send none.
+     */
     @Serializable
     @SerialName("store")
-    class StoreJob(val record: JobRecord) : OwnerRequest
+    class StoreJob(val record: JobRecord, val fence: Long? = null) : OwnerRequest
 
     /** Requests that the owner stores the cancellation of a job, because the sender cannot reach the store. */
     @Serializable
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/ShardKeys.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/ShardKeys.kt
@@ -14,6 +14,9 @@
 
     /** Jobs and cancellations, written by entries. */
     val inboxPrefix = "$root/in/"
+
+    /** The [IntakeFence] of the shard. Never deleted: its revision must not return to an earlier one. */
+    val fence = "${inboxPrefix}fence"
     val progressPrefix = "$root/progress/"
 
     fun job(id: String): String = "${inboxPrefix}job/$id"
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/entry/RecordWriterTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/entry/RecordWriterTest.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.test.runCurrent
 import kotlinx.coroutines.test.runTest
 import org.camphorhall.scheduler.support.Clock
+import org.camphorhall.scheduler.support.StoredFence
 import org.camphorhall.scheduler.support.WriteResult
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -19,6 +20,7 @@
 internal class RecordWriterTest {
     private val rejected = WriteResult.Refused("status 503")
     private val unknown = WriteResult.Unknown("no answer")
+    private val limit = WriteResult.LimitReached("limit")
 
     private class Case(
         val direct: List<WriteResult>,
@@ -35,6 +37,25 @@
             WriteResult.NoSuchJob,
             calls = 1,
         ),
+        "a job that was withdrawn, after a try without a response" to Case(
+            listOf(unknown, WriteResult.Withdrawn),
+            listOf(rejected),
+            WriteResult.Withdrawn,
+            calls = 3,
+        ),
+        "a fence that was superseded, after a try without a response" to Case(
+            listOf(unknown),
+            listOf(WriteResult.Superseded(StoredFence(revision = 9))),
+            WriteResult.Superseded(StoredFence(revision = 9)),
+            calls = 2,
+        ),
+        "a limit" to Case(listOf(limit), emptyList(), limit, calls = 1),
+        "a limit, after a try without a response" to Case(
+            listOf(unknown, limit),
+            listOf(rejected),
+            WriteResult.Unknown("limit"),
+            calls = 3,
+        ),
         "the store rejects the direct write" to Case(
             listOf(rejected),
             listOf(WriteResult.Stored),
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/RecordDeletionTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/RecordDeletionTest.kt
@@ -24,13 +24,18 @@
 import org.camphorhall.scheduler.protocol.OwnerRequest
 import org.camphorhall.scheduler.protocol.OwnerResponse
 import org.camphorhall.scheduler.protocol.documentJson
+import org.camphorhall.scheduler.support.JobRecordStore
 import org.camphorhall.scheduler.support.ShardKeys
 import org.camphorhall.scheduler.support.SystemClock
+import org.camphorhall.scheduler.support.WriteResult
+import org.camphorhall.scheduler.support.toFence
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -76,8 +81,28 @@
         expectThat(prefixes.flatMap { listed(it) }).isEmpty()
     }
 
+    /** Guards against a fence that names withdrawn jobs for ever, until it has room for no more. */
+    @Test
+    fun `an owner lets the fence forget withdrawn jobs after their retention`(): Unit = runBlocking {
+        val records = JobRecordStore(store, shards = 1)
+        val ownership = Ownership(store, keys, "owner", "127.0.0.1:1", SystemClock).also { it.tryAcquire() }
+        expectThat(records.storeCancellation("before the load")).isEqualTo(WriteResult.NoSuchJob)
+        val settings = JobShardSettings(retentionMillis = 0, cleanupIntervalMillis = 0)
+        val shard = ShardOwner(ownership, ShardStore(store, keys), settings, SystemClock)
+        scope.launch { shard.run(graceMillis = 0) }
+        awaitWithdrawn { it.isEmpty() }
+        val forgottenAt = store.get(keys.fence).getOrNull().toFence().revision
+        expectThat(records.storeCancellation("after the load")).isEqualTo(WriteResult.NoSuchJob)
+        awaitWithdrawn { it.isEmpty() }
+        expectThat(store.get(keys.fence).getOrNull().toFence().revision).isGreaterThan(forgottenAt)
+    }
+
+    private suspend fun awaitWithdrawn(isReached: (Set<String>) -> Boolean) = withTimeout(TIMEOUT) {
+        while (!isReached(store.get(keys.fence).getOrNull().toFence().fence.withdrawn)) delay(POLL_INTERVAL)
+    }
+
     private suspend fun listed(prefix: String): List<String> =
-        checkNotNull(store.list(prefix).getOrNull()).items.map { it.key }
+        checkNotNull(store.list(prefix).getOrNull()).items.map { it.key } - keys.fence
 
     private suspend fun storeFinishedJobs(count: Int) = repeat(count) { n ->
         val job = JobRecord(
