Store a cancellation only while the record of its job exists

What callers could see: a cancellation whose write got no response may be carried out after the job has ended and its records were deleted. It then stays in the store for ever, and a later job with the same id is cancelled without cause.

Cause: the write of a cancellation depended only on the absence of an earlier one. That the job exists was read before, and no longer needs to hold when the write is carried out.

Change: the write is conditional on the revision of the job's record. If the record was deleted meanwhile, the cancellation begins again, and withdraws the id.

Evidence: LateCancellationTest fails without the change ("the job was deleted": the cancellation is left).

--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/JobRecordStore.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/JobRecordStore.kt
@@ -61,9 +61,9 @@
      */
     suspend fun storeCancellation(id: String): WriteResult {
         repeat(MAX_CONFLICTS) {
-            val exists = exists(id).getOrElse { return WriteResult.Refused(it.toString()) }
-            if (exists) return create(keysOf(id).cancellation(id), "{}")
-            withdrawInTurn(id)?.let { return it }
+            val job = store.get(keysOf(id).job(id)).getOrElse { return WriteResult.Refused(it.toString()) }
+            val result = if (job == null) withdrawInTurn(id) else cancel(id, job.version)
+            if (result != null) return result
         }
         return WriteResult.LimitReached("the fence or the record of $id changes too often")
     }
@@ -123,11 +123,20 @@
 
     private fun keysOf(id: String) = ShardKeys(ShardKeys.shardOf(id, shards))
 
-    private suspend fun create(key: String, value: String): WriteResult {
-        val error = store.put(key, value.encodeToByteArray(), expected = 0).leftOrNull() ?: return WriteResult.Stored
-        // Only a write of the same record creates this key, so an existing key shows that an earlier try succeeded.
-        if (error is StoreError.VersionMismatch || error is StoreError.Conflict) return WriteResult.Stored
-        return failure(key, error)
+    /**
+     * Stores the cancellation of the job whose record has [revision]; null if that record was deleted meanwhile. A late
+     * cancellation would stay in the store for ever, and cancel a later job with the same id.
+     */
+    private suspend fun cancel(id: String, revision: Long): WriteResult? {
+        val keys = keysOf(id)
+        val key = keys.cancellation(id)
+        val transaction = StoreTransaction(
+            mapOf(keys.job(id) to revision, key to 0L),
+            listOf(StoreTransaction.Write(key, "{}".encodeToByteArray())),
+        )
+        val error = store.commit(transaction).leftOrNull() ?: return WriteResult.Stored
+        if (error !is StoreError.Conflict) return failure(key, error)
+        return if (error.current.any { it.key == key }) WriteResult.Stored else null
     }
 
     private fun failure(key: String, error: StoreError): WriteResult {
