Track expired jobs until their records are known to be deleted

What callers could see: a submission that is repeated 150 s after the end of its job, while the deletion is late or has failed, was taken for a new job. A deletion without a response could also be carried out after the job had been stored again, and delete the accepted job.

Cause: the owner forgot a job when it asked for the deletion, tried that once, and took any failure for the end of it. The deletion depended on the epoch only.

Change: - Expired jobs stay tracked until the deletion is known to have happened; it is repeated until then, under the epoch and the revision of each job's record. A record that is gone, or has another revision, was deleted by an earlier try. - A job that was stored again under such an id is accepted once the earlier one is gone. The owner tells the two apart by the revisions of their records, which entries now send with their notifications; without one, it waits for its watch. - Nothing is written for a job whose records are being deleted. Ends of it that a worker lists meanwhile are acknowledged after the deletion.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
@@ -22,6 +22,15 @@
 
     private val withdrawn = WithdrawnJobs(settings.retentionMillis)
 
+    /**
+     * Ids of the finished jobs whose records are being deleted. They stay in [jobs] until that is known to have
+     * happened: otherwise a record that is still there could be taken for that of a new job.
+     */
+    private val deleting = HashSet<String>()
+
+    /** Jobs that were stored under ids in [deleting] after the earlier records had been deleted. */
+    private val successors = HashMap<String, Successor>()
+
     /** Ids of the jobs whose records are being written. */
     private var committing: Set<String> = emptySet()
     private val scheduling =
@@ -69,7 +78,7 @@
         state.completeFrom = now + settings.grantedLeaseMillis
         for (s in stored) {
             val age = wallMillis?.let { (it - s.record.acceptedAtMillis).coerceIn(0, settings.retentionMillis) } ?: 0
-            val job = TrackedJob(s.record, now - age)
+            val job = TrackedJob(s.record, now - age, s.recordRevision)
             jobs[s.record.id] = job
             job.revision = s.progressRevision
             val invalidRows = s.progress?.let(job::restore).orEmpty()
@@ -86,19 +95,28 @@
         }
     }
 
-    /** Adds an accepted job; does nothing if the job is already tracked. */
-    public fun accept(record: JobRecord, now: Long) {
-        if (record.id in jobs) return
-        jobs[record.id] = TrackedJob(record, now)
+    /**
+     * Adds an accepted job, whose record has the store [revision] (0 if it is not known); does nothing if the job is
+     * already tracked. A job that replaces one whose records are being deleted is added once these are gone.
+     */
+    public fun accept(record: JobRecord, now: Long, revision: Long = 0) {
+        val tracked = jobs[record.id]
+        if (tracked != null) {
+            if (record.id in deleting && revision > tracked.recordRevision) {
+                successors[record.id] = Successor(record, revision)
+            }
+            return
+        }
+        jobs[record.id] = TrackedJob(record, now, revision)
         if (earlyCancellations.remove(record.id) != null) cancel(record.id, now)
     }
 
     /** Cancels a job, or does so once it is accepted if there is no such job yet. Returns whether there is. */
     public fun cancel(id: String, now: Long): Boolean {
         val job = jobs[id]
-        if (job == null) {
+        if (job == null || id in deleting) {
             earlyCancellations[id] = now
-            return false
+            return job != null
         }
         if (!job.phase.isFinal) state.finish(job, JobPhase.Cancelled, now)
         return true
@@ -205,8 +223,8 @@
 
     /** The next records to store; null if there are none. At most one commit may be in progress. */
     public fun nextCommit(): Commit? {
-        if (unsaved.isEmpty()) return null
-        val ids = unsaved.take(settings.jobsPerCommit)
+        val ids = unsaved.asSequence().filter { it !in deleting }.take(settings.jobsPerCommit).toList()
+        if (ids.isEmpty()) return null
         committing = ids.toSet()
         unsaved -= committing
         val outgoing = mutableListOf<Outgoing>()
@@ -226,8 +244,13 @@
             job.revision = revision
             job.committedPhase = w.record.phase
         }
+        send(commit.outgoing, now)
+    }
+
+    /** Sends the messages in [outgoing], whose causes are stored. */
+    private fun send(outgoing: List<Outgoing>, now: Long) {
         val acknowledgedWorkers = LinkedHashSet<TrackedWorker>()
-        for (o in commit.outgoing) {
+        for (o in outgoing) {
             when (o) {
                 is Outgoing.Start -> sendStart(o, now)
                 is Outgoing.Acknowledge -> workers[o.worker]?.let {
@@ -239,17 +262,36 @@
         acknowledgedWorkers.forEach(state::acknowledge)
     }
 
-    /** Removes the final jobs whose retention time has passed, and returns their ids. */
+    /**
+     * Ids of the final jobs whose retention time has passed and whose records are to be deleted. They are not returned
+     * again, and are tracked until [deleted] is called for them.
+     */
     public fun expire(now: Long): List<String> {
         earlyCancellations.values.removeIf { it + settings.retentionMillis < now }
         val expired = jobs.values.filter { it.phase.isFinal && it.endedAt + settings.retentionMillis < now }
             .filter { job -> job.allTasks.all { it.worker == null } }
             .map { it.record.id }
-            .filter { it !in unsaved && it !in committing }
-        jobs -= expired.toSet()
+            .filter { it !in unsaved && it !in committing && it !in deleting }
+        deleting += expired
         return expired
     }
 
+    /** Store revision of the record of the tracked job [id]; 0 if it is not known. */
+    public fun recordRevision(id: String): Long = jobs[id]?.recordRevision ?: 0
+
+    /** Removes the jobs [ids], whose records are known to be deleted. */
+    public fun deleted(ids: Collection<String>, now: Long) {
+        for (id in ids) {
+            deleting -= id
+            unsaved -= id
+            // Ends that were listed meanwhile need no record any more.
+            jobs.remove(id)?.let { send(it.outbox, now) }
+            successors.remove(id)?.let { accept(it.record, now, it.revision) }
+        }
+    }
+
+    private class Successor(val record: JobRecord, val revision: Long)
+
     private fun unreportedWorker(key: WorkerKey, leaseEndsAt: Long): TrackedWorker =
         TrackedWorker(WorkerProfile(key, service = "", failureDomain = "", capacity = Resources.None)).also {
             it.leaseEndsAt = leaseEndsAt
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedJob.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedJob.kt
@@ -1,7 +1,7 @@
 package org.camphorhall.core.jobs
 
-/** In-memory state of a job. */
-internal class TrackedJob(val record: JobRecord, val arrivedAt: Long) {
+/** In-memory state of a job. [recordRevision] is the store revision of [record]; 0 if it is not known. */
+internal class TrackedJob(val record: JobRecord, val arrivedAt: Long, val recordRevision: Long = 0) {
     val spec: JobSpec get() = record.spec
 
     private val steps: List<List<TrackedStep>> = List(spec.occurrences) { k ->
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/RecordWriter.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/RecordWriter.kt
@@ -84,7 +84,7 @@
     /** Whether further tries cannot change the response. */
     private val WriteResult.isFinal: Boolean
         get() = when (this) {
-            WriteResult.Stored, WriteResult.NoSuchJob, WriteResult.Withdrawn -> true
+            WriteResult.Stored, is WriteResult.Created, WriteResult.NoSuchJob, WriteResult.Withdrawn -> true
             is WriteResult.Superseded, is WriteResult.LimitReached -> true
             is WriteResult.Refused, is WriteResult.Unknown -> false
         }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerJobIntake.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerJobIntake.kt
@@ -105,8 +105,11 @@
             writer.write(
                 deadline,
                 direct = {
-                    submission.write { fence -> records.store(record, fence) }
-                        .notifyOwner(record.id, OwnerRequest.JobStored(record))
+                    val result = submission.write { fence -> records.store(record, fence) }
+                    if (result is WriteResult.Created) {
+                        notifyOwner(record.id, OwnerRequest.JobStored(record, result.revision))
+                    }
+                    result
                 },
                 throughOwner = { timeout ->
                     submission.write { fence -> owners.write(record.id, OwnerRequest.StoreJob(record, fence), timeout) }
@@ -126,18 +129,22 @@
     private suspend fun cancel(id: String, deadline: Long): IntakeResponse = responseOf(
         writer.write(
             deadline,
-            direct = { records.storeCancellation(id).notifyOwner(id, OwnerRequest.CancellationStored(id)) },
+            direct = {
+                val result = records.storeCancellation(id)
+                if (result == WriteResult.Stored) notifyOwner(id, OwnerRequest.CancellationStored(id))
+                result
+            },
             throughOwner = { owners.write(id, OwnerRequest.StoreCancellation(id), it) },
         ),
     )
 
-    /** Notifies the owner if this process has written the record directly. */
-    private fun WriteResult.notifyOwner(job: String, notification: OwnerRequest): WriteResult = also {
-        if (it == WriteResult.Stored) scope.launch { owners.notifyOwner(job, notification) }
+    /** Notifies the owner, beside the response, of a record that this process has written directly. */
+    private fun notifyOwner(job: String, notification: OwnerRequest) {
+        scope.launch { owners.notifyOwner(job, notification) }
     }
 
     private fun responseOf(r: WriteResult): IntakeResponse = when (r) {
-        WriteResult.Stored -> IntakeResponse.Done
+        WriteResult.Stored, is WriteResult.Created -> IntakeResponse.Done
         WriteResult.NoSuchJob -> IntakeResponse.UnknownJob
         WriteResult.Withdrawn -> IntakeResponse.Withdrawn
         is WriteResult.Superseded -> rejected("the fence of the shard changed meanwhile")
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/OwnerEvent.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/OwnerEvent.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import org.camphorhall.core.jobs.Commit
-import org.camphorhall.core.jobs.JobRecord
 import org.camphorhall.platform.operator.OperatorConfig
 import org.camphorhall.scheduler.protocol.AgentMessage
 import org.camphorhall.scheduler.protocol.OwnerRequest
@@ -19,7 +18,7 @@
 
     /** [withdrawn] are all ids that the fence names; null if it has not changed. */
     class InboxUpdated(
-        val jobs: List<JobRecord>,
+        val jobs: List<StoredRecord>,
         val cancelled: List<String>,
         val withdrawn: Set<String>? = null,
     ) : OwnerEvent
@@ -31,6 +30,9 @@
     /** [revision] is the revision of the written records, or null if the shard has another owner. */
     class Written(val commit: Commit, val revision: Long?) : OwnerEvent
 
+    /** The records of the finished [jobs] are deleted. */
+    class Deleted(val jobs: Collection<String>) : OwnerEvent
+
     data object Tick : OwnerEvent
 
     data object Summarize : OwnerEvent
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/SchedulerService.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/SchedulerService.kt
@@ -4,7 +4,6 @@
 import io.github.oshai.kotlinlogging.Level
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
-import org.camphorhall.core.jobs.JobRecord
 import org.camphorhall.process.event
 import org.camphorhall.scheduler.peer.PeerConnection
 import org.camphorhall.scheduler.peer.PeerFrame
@@ -73,7 +72,9 @@
     private suspend fun respond(request: OwnerRequest): OwnerResponse = when (request) {
         is OwnerRequest.StoreJob -> {
             val result = request.fence?.let { records.store(request.record, it) } ?: records.store(request.record)
-            if (result == WriteResult.Stored) notifyOwner(listOf(request.record), emptyList())
+            if (result is WriteResult.Created) {
+                notifyOwner(listOf(StoredRecord(request.record, result.revision)), emptyList())
+            }
             OwnerResponse.WriteOutcome(result)
         }
         is OwnerRequest.StoreCancellation -> {
@@ -84,7 +85,7 @@
         else -> owner()?.handleRequest(request) ?: otherOwner()?.let(OwnerResponse::Moved) ?: OwnerResponse.NotOwner
     }
 
-    private fun notifyOwner(jobs: List<JobRecord>, cancelled: List<String>) {
+    private fun notifyOwner(jobs: List<StoredRecord>, cancelled: List<String>) {
         owner()?.send(OwnerEvent.InboxUpdated(jobs, cancelled))
     }
 }
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
@@ -167,7 +167,8 @@
         val all = records.load().getOrNull() ?: return null
         val jobs = all.unfinishedJobs
         val cancelled = jobs.filter { it.cancelled }.map { it.record.id }
-        send(OwnerEvent.InboxUpdated(jobs.map { it.record }, cancelled, all.withdrawn))
+        val records = jobs.map { StoredRecord(it.record, it.recordRevision) }
+        send(OwnerEvent.InboxUpdated(records, cancelled, all.withdrawn))
         return all.revision
     }
 
@@ -192,14 +193,14 @@
     private suspend fun cleanUp() {
         for (c in cleanups) {
             if (!records.advanceFence(c.withdrawn, ownership.epochRevision)) return
-            records.delete(c.jobs, ownership.epochRevision)
+            if (!records.delete(c.jobs, ownership.epochRevision) { send(OwnerEvent.Deleted(it)) }) return
         }
     }
 
     /** Requests the deletion of expired records, at most once in the interval of the settings. */
     private fun requestCleanup(now: Long) {
         if (cleanedAt?.let { now - it < settings.cleanupIntervalMillis } == true) return
-        val cleanup = Cleanup(shard.expire(now), shard.expiredWithdrawals(now))
+        val cleanup = Cleanup(shard.expire(now).associateWith(shard::recordRevision), shard.expiredWithdrawals(now))
         if (cleanup.jobs.isEmpty() && cleanup.withdrawn.isEmpty()) return
         cleanedAt = now
         cleanups.trySend(cleanup)
@@ -236,7 +237,7 @@
             }
             is OwnerEvent.RequestReceived -> e.response.complete(responseTo(e.request, now))
             is OwnerEvent.InboxUpdated -> {
-                e.jobs.forEach { shard.accept(it, now) }
+                e.jobs.forEach { shard.accept(it.record, now, it.revision) }
                 e.cancelled.forEach { shard.cancel(it, now) }
                 e.withdrawn?.let { shard.withdraw(it, now) }
             }
@@ -246,6 +247,7 @@
             }
             is OwnerEvent.Evacuated -> shard.evacuate(e.state.domains, e.state.currentAt)
             is OwnerEvent.Written -> handleWritten(e, now)
+            is OwnerEvent.Deleted -> shard.deleted(e.jobs, now)
             OwnerEvent.Summarize -> logSummary(shard.summary(now))
             OwnerEvent.Tick -> {
                 tickedAt = now
@@ -279,7 +281,10 @@
     }
 
     private fun responseTo(request: OwnerRequest, now: Long): OwnerResponse = when (request) {
-        is OwnerRequest.JobStored -> OwnerResponse.Acknowledged(loads(now)).also { shard.accept(request.record, now) }
+        is OwnerRequest.JobStored -> OwnerResponse.Acknowledged(loads(now)).also {
+            // The watch finds the jobs of entries that send no revision.
+            if (request.revision > 0) shard.accept(request.record, now, request.revision)
+        }
         is OwnerRequest.CancellationStored -> OwnerResponse.Acknowledged().also { shard.cancel(request.id, now) }
         is OwnerRequest.GetPhase -> OwnerResponse.Phase(shard.phaseOf(request.id), loads(now))
         is OwnerRequest.CountPending -> OwnerResponse.PendingCount(shard.pending(request.classId))
@@ -353,8 +358,8 @@
         }
     }
 
-    /** Finished jobs whose records are to be deleted, and withdrawn ids that the fence is to forget. */
-    private class Cleanup(val jobs: List<String>, val withdrawn: Set<String>)
+    /** Finished jobs, with the revisions of their records, to be deleted, and ids that the fence is to forget. */
+    private class Cleanup(val jobs: Map<String, Long>, val withdrawn: Set<String>)
 
     private companion object {
         /** Longer than the timeout of any sender. A request without a response by then was sent to an ended loop. */
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardStore.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardStore.kt
@@ -43,9 +43,9 @@
         val progress = stored.items.associateBy { keys.progressJobIdOf(it.key) }
         val inbox = store.list(keys.inboxPrefix).getOrElse { return it.left() }
         val cancelled = inbox.items.mapNotNull { keys.cancelledJobIdOf(it.key) }.toSet()
-        val jobs = inbox.items.filter { keys.jobIdOf(it.key) != null }.mapNotNull(::decodeJob).map { record ->
+        val jobs = decodeJobs(inbox.items).map { (record, revision) ->
             val entry = progress[record.id]
-            StoredJob(record, entry?.let(::decodeProgress), entry?.version ?: 0, record.id in cancelled)
+            StoredJob(record, entry?.let(::decodeProgress), entry?.version ?: 0, record.id in cancelled, revision)
         }
         val withdrawn = inbox.items.firstOrNull { it.key == keys.fence }.toFence().fence.withdrawn
         return Snapshot(jobs, withdrawn, inbox.revision).right()
@@ -95,7 +95,7 @@
     suspend fun awaitInboxChange(revision: Long): Either<StoreError, InboxChange> =
         store.watch(keys.inboxPrefix, revision, WATCH_MILLIS.milliseconds).map { change ->
             InboxChange(
-                jobs = change.items.filter { keys.jobIdOf(it.key) != null }.mapNotNull(::decodeJob),
+                jobs = decodeJobs(change.items),
                 cancelled = change.items.mapNotNull { keys.cancelledJobIdOf(it.key) },
                 withdrawn = change.items.firstOrNull { it.key == keys.fence }?.toFence()?.fence?.withdrawn,
                 revision = change.revision,
@@ -121,16 +121,48 @@
 
     private fun StoreEntry.isEpochAt(revision: Long) = key == keys.epoch && version == revision
 
-    /** Deletes all records of the finished [jobs]. */
-    suspend fun delete(jobs: List<String>, epochRevision: Long) {
-        for (batch in jobs.chunked(JOBS_PER_DELETE)) {
-            val deletes = batch.flatMap { listOf(keys.job(it), keys.cancellation(it), keys.progress(it)) }
-            store.commit(StoreTransaction(mapOf(keys.epoch to epochRevision), deletes = deletes)).onLeft {
-                logger.event(Level.WARN, "records of finished jobs not deleted", "jobs" to batch.size, "reason" to it)
+    /**
+     * Deletes all records of the finished [jobs], whose ids are mapped to the revisions of their records (0 if not
+     * known), and retries until the outcome is known. Calls [onDeleted] with each part of them. Returns false if
+     * another process owns the shard. A late deletion spares a later job with the same id, as its record has another
+     * revision.
+     */
+    suspend fun delete(
+        jobs: Map<String, Long>,
+        epochRevision: Long,
+        onDeleted: (Collection<String>) -> Unit = {},
+    ): Boolean {
+        for (batch in jobs.entries.chunked(JOBS_PER_DELETE)) {
+            if (!deleteBatch(batch.associate { it.toPair() }, epochRevision)) return false
+            onDeleted(batch.map { it.key })
+        }
+        return true
+    }
+
+    private suspend fun deleteBatch(jobs: Map<String, Long>, epochRevision: Long): Boolean {
+        var left = jobs
+        while (left.isNotEmpty()) {
+            val conditions = left.filterValues { it > 0 }.mapKeys { keys.job(it.key) }
+            val deletes = left.keys.flatMap { listOf(keys.job(it), keys.cancellation(it), keys.progress(it)) }
+            val transaction = StoreTransaction(conditions + (keys.epoch to epochRevision), deletes = deletes)
+            val error = store.commit(transaction).leftOrNull() ?: return true
+            if (error is StoreError.Conflict) {
+                if (error.current.none { it.isEpochAt(epochRevision) }) return false
+                // An earlier try without a response has deleted the others.
+                val present = error.current.associate { it.key to it.version }
+                left = left.filter { (id, revision) -> revision == 0L || present[keys.job(id)] == revision }
+            } else {
+                logger.event(Level.WARN, "finished jobs not deleted yet", "jobs" to left.size, "reason" to error)
+                delay(MAX_RETRY_MILLIS.milliseconds)
             }
         }
+        return true
     }
 
+    private fun decodeJobs(entries: List<StoreEntry>): List<StoredRecord> =
+        entries.filter { keys.jobIdOf(it.key) != null }
+            .mapNotNull { entry -> decodeJob(entry)?.let { StoredRecord(it, entry.version) } }
+
     private fun decodeJob(e: StoreEntry): JobRecord? = documentDecoder.decode(JobRecord.serializer(), e.value)
         .flatMap { if (it.id == keys.jobIdOf(e.key)) it.right() else "record of job ${it.id}".left() }
         .onLeft {
@@ -158,14 +190,17 @@
         /** Entries notify the owner of new jobs, so that the watch only finds those whose message was lost. */
         const val WATCH_MILLIS = 2_000L
 
-        /** Each job has three keys, and a transaction has at most 32 entries. */
-        const val JOBS_PER_DELETE = 10
+        /** Each job has three keys and a condition, and a transaction has at most 32 entries. */
+        const val JOBS_PER_DELETE = 7
     }
 }
 
+/** The record of a job with its store [revision]. */
+internal data class StoredRecord(val record: JobRecord, val revision: Long)
+
 /** Changes of a shard's inbox up to [revision]: new jobs and cancellations, and the withdrawn ids if these changed. */
 internal class InboxChange(
-    val jobs: List<JobRecord>,
+    val jobs: List<StoredRecord>,
     val cancelled: List<String>,
     val withdrawn: Set<String>?,
     val revision: Long,
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/protocol/OwnerRequest.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/protocol/OwnerRequest.kt
@@ -11,10 +11,10 @@
 /** Request of an entry or a new owner to the owner of a shard. */
 @Serializable
 internal sealed interface OwnerRequest {
-    /** Reports that a job was stored. */
+    /** Reports that a job was stored, at store revision [revision]; entries of earlier builds send none. */
     @Serializable
     @SerialName("stored")
-    class JobStored(val record: JobRecord) : OwnerRequest
+    class JobStored(val record: JobRecord, val revision: Long = 0) : OwnerRequest
 
     /** Reports that the cancellation of a job was stored. */
     @Serializable
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/JobRecordStore.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/JobRecordStore.kt
@@ -38,10 +38,10 @@
         val value = documentJson.encodeToString(JobRecord.serializer(), record).encodeToByteArray()
         val transaction =
             StoreTransaction(mapOf(key to 0L, keys.fence to fence), listOf(StoreTransaction.Write(key, value)))
-        val error = store.commit(transaction).leftOrNull() ?: return WriteResult.Stored
+        val error = store.commit(transaction).fold({ it }, { return WriteResult.Created(it) })
         if (error !is StoreError.Conflict) return failure(key, error)
         // Only a write of the same record creates this key, so an existing key shows that an earlier try succeeded.
-        if (error.current.any { it.key == key }) return WriteResult.Stored
+        error.current.firstOrNull { it.key == key }?.let { return WriteResult.Created(it.version) }
         val current = error.current.firstOrNull { it.key == keys.fence }.toFence()
         return if (record.id in current.fence.withdrawn) WriteResult.Withdrawn else WriteResult.Superseded(current)
     }
@@ -50,9 +50,11 @@
     suspend fun store(record: JobRecord): WriteResult {
         val current = store.get(keysOf(record.id).fence).getOrElse { return WriteResult.Refused("$it") }.toFence()
         if (record.id in current.fence.withdrawn) return WriteResult.Refused("the job was cancelled before")
-        val result = store(record, current.revision)
-        val isChanged = result is WriteResult.Superseded || result == WriteResult.Withdrawn
-        return if (isChanged) WriteResult.Refused("the fence changed meanwhile") else result
+        return when (val result = store(record, current.revision)) {
+            is WriteResult.Created -> WriteResult.Stored
+            is WriteResult.Superseded, WriteResult.Withdrawn -> WriteResult.Refused("the fence changed meanwhile")
+            else -> result
+        }
     }
 
     /**
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/WriteResult.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/WriteResult.kt
@@ -11,6 +11,11 @@
     @SerialName("stored")
     data object Stored : WriteResult
 
+    /** The record of a job exists with store revision [revision], from this write or an earlier one. */
+    @Serializable
+    @SerialName("created")
+    data class Created(val revision: Long) : WriteResult
+
     /** Not committed: the key was not written and will not be. */
     @Serializable
     @SerialName("refused")
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/ChangingInboxTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/ChangingInboxTest.kt
@@ -54,7 +54,7 @@
         val loaded = checkNotNull(records.load().getOrNull())
         expectThat(loaded.jobs.map { it.record.id to it.cancelled }).containsExactly("a" to false)
         val change = checkNotNull(records.awaitInboxChange(loaded.revision).getOrNull())
-        expectThat(change.jobs.map { it.id }).containsExactly("b")
+        expectThat(change.jobs.map { it.record.id }).containsExactly("b")
         expectThat(change.cancelled).containsExactly("a")
     }
 
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/HandOverTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/HandOverTest.kt
@@ -81,10 +81,13 @@
     fun `an owner changes no record after it was replaced`(): Unit = runBlocking {
         expectThat(frozen.tryAcquire()).isTrue()
         writer.store(job)
-        val commit = cancelling(checkNotNull(records.load().getOrNull()).jobs)
+        val loaded = checkNotNull(records.load().getOrNull()).jobs
+        val commit = cancelling(loaded)
         takeOver()
         expectThat(records.write(commit, frozen.epochRevision)).isNull()
-        records.delete(listOf(job.id), frozen.epochRevision)
+        val revisions = loaded.associate { it.record.id to it.recordRevision }
+        expectThat(records.delete(revisions, frozen.epochRevision)).isFalse()
+        expectThat(records.advanceFence(emptySet(), frozen.epochRevision)).isFalse()
         val stored = checkNotNull(records.load().getOrNull()).jobs.single()
         expectThat(stored.record.id).isEqualTo(job.id)
         expectThat(stored.progress).isNull()
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/OddRecordsTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/OddRecordsTest.kt
@@ -69,7 +69,9 @@
         for ((name, bytes) in oddRecords) store.put(keys.job("$ODD ${name.hashCode()}"), bytes, 0)
         val loaded = onSmallStack { ShardStore(store, keys).load().getOrNull()?.jobs?.map { it.record.id } }
         expectThat(loaded).isEqualTo(Result.success(listOf(GOOD)))
-        val changed = onSmallStack { ShardStore(store, keys).awaitInboxChange(0).getOrNull()?.jobs?.map { it.id } }
+        val changed = onSmallStack {
+            ShardStore(store, keys).awaitInboxChange(0).getOrNull()?.jobs?.map { it.record.id }
+        }
         expectThat(changed).isEqualTo(Result.success(listOf(GOOD)))
     }
 
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/RecordDeletionTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/RecordDeletionTest.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -32,10 +33,12 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.containsExactly
 import strikt.assertions.isA
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -81,6 +84,56 @@
         expectThat(prefixes.flatMap { listed(it) }).isEmpty()
     }
 
+    private class LateCase(
+        /** Whether the job is submitted again before the late deletion is carried out. */
+        val isSubmittedAgain: Boolean,
+        val isStored: Boolean,
+    )
+
+    private val lateCases = mapOf(
+        "the records are left" to LateCase(isSubmittedAgain = false, isStored = false),
+        "the job was stored again" to LateCase(isSubmittedAgain = true, isStored = true),
+    )
+
+    /** Guards against an accepted job that is lost, because a deletion without a response is carried out late. */
+    @Test
+    fun `a late deletion spares a later job with the same id`(): Unit = runBlocking {
+        for ((name, case) in lateCases) {
+            val memory = InMemoryTransactionalStore()
+            val late = LateWrites(memory)
+            val records = ShardStore(late, keys)
+            val ownership = Ownership(memory, keys, "owner", "127.0.0.1:1", SystemClock).also { it.tryAcquire() }
+            val writer = JobRecordStore(memory, shards = 1)
+            writer.store(job(1))
+            val revisions = checkNotNull(records.load().getOrNull()).jobs.associate { it.record.id to it.recordRevision }
+            late.isLate = { late.pendingCount == 0 && it.deletes.isNotEmpty() }
+            val deleted = mutableListOf<String>()
+            expectThat(records.delete(revisions, ownership.epochRevision) { deleted += it }).describedAs(name).isTrue()
+            expectThat(deleted).describedAs(name).containsExactly(job(1).id)
+            if (case.isSubmittedAgain) writer.store(job(1))
+            late.carryOut()
+            expectThat(memory.get(keys.job(job(1).id)).getOrNull() != null).describedAs(name).isEqualTo(case.isStored)
+        }
+    }
+
+    /** Guards against an owner that waits for ever, or gives its shard up, when a deletion was carried out unseen. */
+    @Test
+    fun `a deletion whose response was lost counts as done`(): Unit = runBlocking {
+        val late = LateWrites(store)
+        val records = ShardStore(late, keys)
+        val ownership = Ownership(store, keys, "owner", "127.0.0.1:1", SystemClock).also { it.tryAcquire() }
+        val writer = JobRecordStore(store, shards = 1)
+        store.answer.complete(Unit)
+        repeat(9) { writer.store(job(it)) }
+        val revisions = checkNotNull(records.load().getOrNull()).jobs.associate { it.record.id to it.recordRevision }
+        late.isLate = { t -> late.pendingCount == 0 && t.deletes.isNotEmpty() }
+        val deletion = async { records.delete(revisions, ownership.epochRevision) }
+        withTimeout(TIMEOUT) { while (late.pendingCount == 0) delay(1.milliseconds) }
+        late.carryOut()
+        expectThat(withTimeout(TIMEOUT) { deletion.await() }).isTrue()
+        expectThat(listed(keys.inboxPrefix)).isEmpty()
+    }
+
     /** Guards against a fence that names withdrawn jobs for ever, until it has room for no more. */
     @Test
     fun `an owner lets the fence forget withdrawn jobs after their retention`(): Unit = runBlocking {
@@ -104,13 +157,15 @@
     private suspend fun listed(prefix: String): List<String> =
         checkNotNull(store.list(prefix).getOrNull()).items.map { it.key } - keys.fence
 
+    private fun job(n: Int) = JobRecord(
+        "%016x".format(n),
+        JobSpec("payload", listOf(StepSpec(1, Resources(1_000, 100)))),
+        JobClass("class", "service", 0, maxAttempts = 2, 1.5, 250, 3_000),
+        acceptedAtMillis = 0,
+    )
+
     private suspend fun storeFinishedJobs(count: Int) = repeat(count) { n ->
-        val job = JobRecord(
-            "%016x".format(n),
-            JobSpec("payload", listOf(StepSpec(1, Resources(1_000, 100)))),
-            JobClass("class", "service", 0, maxAttempts = 2, 1.5, 250, 3_000),
-            acceptedAtMillis = 0,
-        )
+        val job = job(n)
         val progress = documentJson.encodeToString(ProgressRecord.serializer(), ProgressRecord(JobPhase.Completed))
         val record = documentJson.encodeToString(JobRecord.serializer(), job)
         store.put(keys.job(job.id), record.encodeToByteArray(), 0)
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/singlerun/SingleRunTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/singlerun/SingleRunTest.kt
@@ -27,6 +27,7 @@
 import org.camphorhall.scheduler.owner.ShardOwner
 import org.camphorhall.scheduler.owner.ShardOwnerRecord
 import org.camphorhall.scheduler.owner.ShardStore
+import org.camphorhall.scheduler.owner.StoredRecord
 import org.camphorhall.scheduler.peer.PeerServer
 import org.camphorhall.scheduler.peer.PeerSockets
 import org.camphorhall.scheduler.support.JobRecordStore
@@ -101,7 +102,7 @@
     private fun expectSingleRunAfter(mode: SimulatedWorker.Mode): Unit = runBlocking {
         startOwner()
         val worker = startAgent("first")
-        shard.send(OwnerEvent.InboxUpdated(listOf(job), emptyList()))
+        shard.send(OwnerEvent.InboxUpdated(listOf(StoredRecord(job, 0)), emptyList()))
         awaitRuns(1)
         startAgent("second")
         delay(1.seconds)
@@ -129,7 +130,7 @@
         startOwner()
         DelayingRelay(port).use { relay ->
             startAgent("first", relay.address)
-            shard.send(OwnerEvent.InboxUpdated(listOf(job), emptyList()))
+            shard.send(OwnerEvent.InboxUpdated(listOf(StoredRecord(job, 0)), emptyList()))
             awaitRuns(1)
             relay.release()
             delay(1.seconds)
