Start no task of a job whose record is gone

What callers could see: a job that had ended 150 s before ran again. An entry notifies the owner after it has stored a job; a notification that was held up, by an entry that was frozen in between or on its connection, reaches an owner that has deleted the job since, and which took it for a new one. The same held for a watch that is answered late.

Cause: the owner took the notification as proof of the record.

Change: the first write of a job's progress, which precedes its first start, is conditional on the revision of the job's own record. If that record is gone or another one, the job is dropped, and the job that replaces it is accepted. A transaction holds 32 entries, so that up to 10 new jobs share one now, and up to 15 others as before.

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
@@ -20,15 +20,13 @@
     /** Arrival times of cancellations, by the ids of jobs whose own notices may be slower. */
     private val earlyCancellations = HashMap<String, Long>()
 
-    private val withdrawn = WithdrawnJobs(settings.retentionMillis)
-
     /**
      * Ids of the finished jobs whose records are being deleted. They stay in [jobs] until that is known to have
      * happened: otherwise a record that is still there could be taken for that of a new job.
      */
     private val deleting = HashSet<String>()
 
-    /** Jobs that were stored under ids in [deleting] after the earlier records had been deleted. */
+    /** Jobs that were stored under the ids of tracked ones, after the records of these had been deleted. */
     private val successors = HashMap<String, Successor>()
 
     /** Ids of the jobs whose records are being written. */
@@ -97,14 +95,14 @@
 
     /**
      * Adds an accepted job, whose record has the store [revision] (0 if it is not known); does nothing if the job is
-     * already tracked. A job that replaces one whose records are being deleted is added once these are gone.
+     * already tracked. One whose record is newer replaces the tracked job, whose own record was deleted, once the shard
+     * learns of that.
      */
     public fun accept(record: JobRecord, now: Long, revision: Long = 0) {
         val tracked = jobs[record.id]
         if (tracked != null) {
-            if (record.id in deleting && revision > tracked.recordRevision) {
-                successors[record.id] = Successor(record, revision)
-            }
+            val isSuccessor = tracked.recordRevision in 1 until revision
+            if (isSuccessor) successors[record.id] = Successor(record, revision)
             return
         }
         jobs[record.id] = TrackedJob(record, now, revision)
@@ -122,12 +120,6 @@
         return true
     }
 
-    /** Replaces the [ids] of jobs that were cancelled before they were stored, as read from the store at [now]. */
-    public fun withdraw(ids: Set<String>, now: Long): Unit = withdrawn.update(ids, now)
-
-    /** Ids of withdrawn jobs that the store need not name any more, because their retention time has passed. */
-    public fun expiredWithdrawals(now: Long): Set<String> = withdrawn.expired(now)
-
     /** Phase of a job that may be reported to callers; null if there is no such job. */
     public fun phaseOf(id: String): JobPhase? = jobs[id]?.visiblePhase
 
@@ -223,22 +215,38 @@
 
     /** The next records to store; null if there are none. At most one commit may be in progress. */
     public fun nextCommit(): Commit? {
-        val ids = unsaved.asSequence().filter { it !in deleting }.take(settings.jobsPerCommit).toList()
-        if (ids.isEmpty()) return null
-        committing = ids.toSet()
+        val saved = mutableListOf<TrackedJob>()
+        var free = settings.entriesPerCommit
+        for (id in unsaved) {
+            val job = jobs[id]?.takeIf { id !in deleting } ?: continue
+            free -= job.entriesPerWrite
+            if (free < 0) break
+            saved += job
+        }
+        if (saved.isEmpty()) return null
+        committing = saved.mapTo(HashSet()) { it.record.id }
         unsaved -= committing
         val outgoing = mutableListOf<Outgoing>()
-        val writes = ids.mapNotNull { jobs[it] }.map { job ->
+        val writes = saved.map { job ->
             outgoing += job.outbox
             job.outbox.clear()
-            Commit.Write(job.record.id, job.toProgress(), job.revision)
+            Commit.Write(job.record.id, job.toProgress(), job.revision, job.recordRevision)
         }
         return Commit(writes, outgoing)
     }
 
-    /** Records that [commit] was stored at [revision], and sends the messages that waited for it. */
-    public fun committed(commit: Commit, revision: Long, now: Long) {
+    /**
+     * Records that [commit] was stored at [revision], and sends the messages that waited for it. Nothing was written
+     * for the [missing] jobs, whose own records are not in the store; these jobs are dropped.
+     */
+    public fun committed(commit: Commit, revision: Long, now: Long, missing: Set<String> = emptySet()) {
         committing = emptySet()
+        for (id in missing) {
+            // No start was sent, since this was the first write of the job.
+            jobs[id]?.allTasks?.forEach { t -> t.worker?.let(workers::get)?.let { state.unassign(it, t) } }
+            state.logEvent("job dropped", job = id, detail = "its record was deleted")
+            remove(id, now)
+        }
         for (w in commit.writes) {
             val job = jobs[w.job] ?: continue
             job.revision = revision
@@ -247,6 +255,14 @@
         send(commit.outgoing, now)
     }
 
+    /** Removes a job whose records are not in the store, and accepts the one that replaces it, if there is one. */
+    private fun remove(id: String, now: Long) {
+        unsaved -= id
+        // Ends that were listed meanwhile need no record any more.
+        jobs.remove(id)?.let { send(it.outbox, now) }
+        successors.remove(id)?.let { accept(it.record, now, it.revision) }
+    }
+
     /** Sends the messages in [outgoing], whose causes are stored. */
     private fun send(outgoing: List<Outgoing>, now: Long) {
         val acknowledgedWorkers = LinkedHashSet<TrackedWorker>()
@@ -283,10 +299,7 @@
     public fun deleted(ids: Collection<String>, now: Long) {
         for (id in ids) {
             deleting -= id
-            unsaved -= id
-            // Ends that were listed meanwhile need no record any more.
-            jobs.remove(id)?.let { send(it.outbox, now) }
-            successors.remove(id)?.let { accept(it.record, now, it.revision) }
+            remove(id, now)
         }
     }
 
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShardSettings.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShardSettings.kt
@@ -46,8 +46,11 @@
     val starvationMillis: Long = 1_500,
     /** How many times as long the tasks of a gang that asks for one rack take on several. */
     val crossRackFactor: Double = 1.5,
-    /** Jobs per store transaction; each takes one condition and one write besides the ownership check. */
-    val jobsPerCommit: Int = 15,
+    /**
+     * Entries per store transaction besides the ownership check. A job takes a write and a condition, and another
+     * condition when its progress is written for the first time.
+     */
+    val entriesPerCommit: Int = 31,
 ) {
     /** A stop command is repeated if no end is reported in this time: a stop, and the way of its report. */
     internal val stopRetryMillis: Long get() = maxStopMillis + STOP_REPORT_MILLIS
--- a/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedJob.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/TrackedJob.kt
@@ -17,6 +17,9 @@
     /** Store revision of the progress record; 0 if there is none. */
     var revision = 0L
 
+    /** Number of entries that a write of the progress takes in a transaction, with its conditions. */
+    val entriesPerWrite: Int get() = if (revision == 0L && recordRevision > 0) 3 else 2
+
     /** When the job reached its final phase. */
     var endedAt = 0L
 
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/OwnerEvent.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/OwnerEvent.kt
@@ -27,8 +27,8 @@
 
     class Evacuated(val state: EvacuationState) : OwnerEvent
 
-    /** [revision] is the revision of the written records, or null if the shard has another owner. */
-    class Written(val commit: Commit, val revision: Long?) : OwnerEvent
+    /** [result] is null if the shard has another owner. */
+    class Written(val commit: Commit, val result: CommitResult?) : OwnerEvent
 
     /** The records of the finished [jobs] are deleted. */
     class Deleted(val jobs: Collection<String>) : OwnerEvent
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardOwner.kt
@@ -16,6 +16,7 @@
 import org.camphorhall.core.jobs.ShardLoad
 import org.camphorhall.core.jobs.ShardOutput
 import org.camphorhall.core.jobs.ShardSummary
+import org.camphorhall.core.jobs.WithdrawnJobs
 import org.camphorhall.core.jobs.WorkerCommand
 import org.camphorhall.process.event
 import org.camphorhall.scheduler.protocol.OwnerMessage
@@ -39,6 +40,7 @@
     private val shard = JobShard(settings)
     private val events = Channel<OwnerEvent>(Channel.UNLIMITED)
 
+    private val withdrawn = WithdrawnJobs(settings.retentionMillis)
     private val cleanups = Channel<Cleanup>(Channel.UNLIMITED)
     private var cleanedAt: Long? = null
 
@@ -88,7 +90,7 @@
         val now = clock.steady()
         val leasesEndAt = now + graceMillis + settings.leaseMillis + settings.leaseSlackMillis
         shard.recover(loaded.jobs, leasesEndAt, now, acquiredWall + (now - acquiredAt))
-        shard.withdraw(loaded.withdrawn, now)
+        withdrawn.update(loaded.withdrawn, now)
         logger.event(
             Level.INFO,
             "shard loaded",
@@ -200,7 +202,7 @@
     /** Requests the deletion of expired records, at most once in the interval of the settings. */
     private fun requestCleanup(now: Long) {
         if (cleanedAt?.let { now - it < settings.cleanupIntervalMillis } == true) return
-        val cleanup = Cleanup(shard.expire(now).associateWith(shard::recordRevision), shard.expiredWithdrawals(now))
+        val cleanup = Cleanup(shard.expire(now).associateWith(shard::recordRevision), withdrawn.expired(now))
         if (cleanup.jobs.isEmpty() && cleanup.withdrawn.isEmpty()) return
         cleanedAt = now
         cleanups.trySend(cleanup)
@@ -239,7 +241,7 @@
             is OwnerEvent.InboxUpdated -> {
                 e.jobs.forEach { shard.accept(it.record, now, it.revision) }
                 e.cancelled.forEach { shard.cancel(it, now) }
-                e.withdrawn?.let { shard.withdraw(it, now) }
+                e.withdrawn?.let { withdrawn.update(it, now) }
             }
             is OwnerEvent.Configured -> {
                 healthPaths = e.config.healthPaths
@@ -310,12 +312,12 @@
 
     private fun handleWritten(e: OwnerEvent.Written, now: Long) {
         isWriting = false
-        if (e.revision == null) {
+        if (e.result == null) {
             logger.event(Level.WARN, "shard lost: another owner has written the epoch", "epoch" to epoch)
             isClosed = true
             return
         }
-        shard.committed(e.commit, e.revision, now)
+        shard.committed(e.commit, e.result.revision, now, e.result.missing)
         onCommitted(e.commit)
     }
 
@@ -327,9 +329,9 @@
         isWriting = true
         scope.launch {
             val reading = ClockReading(clock)
-            val revision = records.write(commit, ownership.epochRevision)
-            if (revision != null) ownership.recordWrite(reading)
-            send(OwnerEvent.Written(commit, revision))
+            val result = records.write(commit, ownership.epochRevision)
+            if (result != null) ownership.recordWrite(reading)
+            send(OwnerEvent.Written(commit, result))
         }
     }
 
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardStore.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/owner/ShardStore.kt
@@ -53,42 +53,72 @@
 
     /**
      * Writes [commit] on the condition that the epoch key has [epochRevision], and retries until the outcome is known.
-     * Returns the new revision, or null if another process owns the shard or has changed the records.
+     * Leaves out the new jobs whose own records are not in the store. Returns null if another process owns the shard or
+     * has changed the records.
      */
-    suspend fun write(commit: Commit, epochRevision: Long): Long? {
-        val writes = commit.writes.map { StoreTransaction.Write(keys.progress(it.job), encode(it.record)) }
-        val conditions = commit.writes.associate { keys.progress(it.job) to it.expectedRevision }
-        val transaction = StoreTransaction(conditions + (keys.epoch to epochRevision), writes)
+    suspend fun write(commit: Commit, epochRevision: Long): CommitResult? {
+        var writes = commit.writes
         var retryMillis = INITIAL_RETRY_MILLIS
         while (true) {
-            val error = store.commit(transaction).fold({ it }, { return it })
-            if (error is StoreError.Conflict) return resolveConflict(error.current, writes, epochRevision)
-            logger.event(Level.INFO, "progress not written yet", "jobs" to writes.size, "reason" to error)
-            delay(retryMillis.milliseconds)
-            retryMillis = (retryMillis * 2).coerceAtMost(MAX_RETRY_MILLIS)
+            val error = commit(writes, epochRevision).fold({ it }, { return commit.result(it, writes) })
+            if (error is StoreError.Conflict) {
+                when (val conflict = resolveConflict(error.current, writes, epochRevision)) {
+                    is Conflict.Written -> return commit.result(conflict.revision, writes)
+                    is Conflict.Missing -> writes = writes.filterNot { it.job in conflict.jobs }
+                    Conflict.Lost -> return null
+                }
+            } else {
+                logger.event(Level.INFO, "progress not written yet", "jobs" to writes.size, "reason" to error)
+                delay(retryMillis.milliseconds)
+                retryMillis = (retryMillis * 2).coerceAtMost(MAX_RETRY_MILLIS)
+            }
         }
     }
 
-    /** Returns the revision at which an earlier call without a response has written all [writes]; null if none has. */
+    private suspend fun commit(writes: List<Commit.Write>, epochRevision: Long): Either<StoreError, Long> {
+        val progress = writes.associate { keys.progress(it.job) to it.expectedRevision }
+        val records = writes.filter { it.isNew }.associate { keys.job(it.job) to it.recordRevision }
+        return store.commit(
+            StoreTransaction(
+                progress + records + (keys.epoch to epochRevision),
+                writes.map { StoreTransaction.Write(keys.progress(it.job), encode(it.record)) },
+            ),
+        )
+    }
+
+    private fun Commit.result(revision: Long, written: List<Commit.Write>) =
+        CommitResult(revision, writes.mapTo(HashSet()) { it.job } - written.mapTo(HashSet()) { it.job })
+
+    /** What a conflict shows about the writes of a transaction. */
+    private sealed interface Conflict {
+        /** An earlier call without a response has written all of them. */
+        class Written(val revision: Long) : Conflict
+
+        /** None is written, because the records of these [jobs] are not in the store. */
+        class Missing(val jobs: Set<String>) : Conflict
+
+        data object Lost : Conflict
+    }
+
     private fun resolveConflict(
         current: List<StoreEntry>,
-        writes: List<StoreTransaction.Write>,
+        writes: List<Commit.Write>,
         epochRevision: Long,
-    ): Long? {
+    ): Conflict {
         val byKey = current.associateBy { it.key }
-        if (byKey[keys.epoch]?.version != epochRevision) return null
+        if (byKey[keys.epoch]?.version != epochRevision) return Conflict.Lost
         val revisions = writes.map { w ->
-            byKey[w.key]?.takeIf { it.value.contentEquals(w.value) }?.version
+            byKey[keys.progress(w.job)]?.takeIf { it.value.contentEquals(encode(w.record)) }?.version
         }.distinct()
-        val revision = revisions.singleOrNull()
-        if (revision == null) {
-            logger.event(
-                Level.ERROR,
-                "progress records differ from this owner's writes; releasing the shard",
-                "jobs" to writes.size,
-            )
-        }
-        return revision
+        revisions.singleOrNull()?.let { return Conflict.Written(it) }
+        val missing = writes.filter { it.isNew && byKey[keys.job(it.job)]?.version != it.recordRevision }
+        if (missing.isNotEmpty()) return Conflict.Missing(missing.mapTo(HashSet()) { it.job })
+        logger.event(
+            Level.ERROR,
+            "progress records differ from this owner's writes; releasing the shard",
+            "jobs" to writes.size,
+        )
+        return Conflict.Lost
     }
 
     /** Waits at most [WATCH_MILLIS] for jobs and cancellations that are newer than [revision]. */
@@ -195,6 +225,9 @@
     }
 }
 
+/** [revision] of a commit, and the [missing] jobs, of which nothing was written. */
+internal class CommitResult(val revision: Long, val missing: Set<String>)
+
 /** The record of a job with its store [revision]. */
 internal data class StoredRecord(val record: JobRecord, val revision: Long)
 
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/RecordDeletionTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/RecordDeletionTest.kt
@@ -105,7 +105,7 @@
             val ownership = Ownership(memory, keys, "owner", "127.0.0.1:1", SystemClock).also { it.tryAcquire() }
             val writer = JobRecordStore(memory, shards = 1)
             writer.store(job(1))
-            val revisions = checkNotNull(records.load().getOrNull()).jobs.associate { it.record.id to it.recordRevision }
+            val revisions = records.revisions()
             late.isLate = { late.pendingCount == 0 && it.deletes.isNotEmpty() }
             val deleted = mutableListOf<String>()
             expectThat(records.delete(revisions, ownership.epochRevision) { deleted += it }).describedAs(name).isTrue()
@@ -125,7 +125,7 @@
         val writer = JobRecordStore(store, shards = 1)
         store.answer.complete(Unit)
         repeat(9) { writer.store(job(it)) }
-        val revisions = checkNotNull(records.load().getOrNull()).jobs.associate { it.record.id to it.recordRevision }
+        val revisions = records.revisions()
         late.isLate = { t -> late.pendingCount == 0 && t.deletes.isNotEmpty() }
         val deletion = async { records.delete(revisions, ownership.epochRevision) }
         withTimeout(TIMEOUT) { while (late.pendingCount == 0) delay(1.milliseconds) }
@@ -150,6 +150,9 @@
         expectThat(store.get(keys.fence).getOrNull().toFence().revision).isGreaterThan(forgottenAt)
     }
 
+    private suspend fun ShardStore.revisions(): Map<String, Long> =
+        checkNotNull(load().getOrNull()).jobs.associate { it.record.id to it.recordRevision }
+
     private suspend fun awaitWithdrawn(isReached: (Set<String>) -> Boolean) = withTimeout(TIMEOUT) {
         while (!isReached(store.get(keys.fence).getOrNull().toFence().fence.withdrawn)) delay(POLL_INTERVAL)
     }
