Make a refusal for lack of room true for earlier requests too

What callers could see: a job is handed in at one entry and gets no response; repeated at another one, it gets 429, which says that it never runs. Then the first entry's write is carried out, or that entry tries again, and the job runs.

Cause: before a refusal the entry read that the job is absent, and wrote nothing.

Change: the refusal writes the fence, which ends the creations that are under way, and reads after it that the job is absent. The fence names the last 256 refused ids: an entry that is still trying to store one of these jobs, after a try without a response or for longer than 250 ms, gives up with 503. A caller who returns after the refusal is not affected. Without a confirmation the job is stored as usual.

Not held: an entry that had not tried before the refusal and then adopts the new fence within 250 ms of the arrival of the request, as that request looks like the return of the caller.

--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerEntry.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerEntry.kt
@@ -22,6 +22,7 @@
 import org.camphorhall.scheduler.peer.PeerSockets
 import org.camphorhall.scheduler.support.ConfigWatcher
 import org.camphorhall.scheduler.support.JobRecordStore
+import org.camphorhall.scheduler.support.JobRefusals
 import org.camphorhall.scheduler.support.OwnerClient
 import org.camphorhall.scheduler.support.OwnerFinder
 import org.camphorhall.scheduler.support.ShardKeys
@@ -59,9 +60,11 @@
     private val ownerFinders = List(options.shards) { OwnerFinder(store, ShardKeys(it)) }
     private val overload = OverloadView(clock, options.shards)
     private val config = ConfigWatcher(fleetOperatorConfig(store), clock)
+    private val records = JobRecordStore(store, options.shards)
     private val intake = SchedulerJobIntake(
         config = { config.config },
-        records = JobRecordStore(store, options.shards),
+        records = records,
+        refusals = JobRefusals(store, records, options.shards),
         owners = OwnerRequestClient(OwnerClient(sockets, scope), ownerFinders, overload),
         scope = scope,
         clock = clock,
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerJobIntake.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/entry/SchedulerJobIntake.kt
@@ -18,6 +18,7 @@
 import org.camphorhall.scheduler.support.Clock
 import org.camphorhall.scheduler.support.ClockReading
 import org.camphorhall.scheduler.support.JobRecordStore
+import org.camphorhall.scheduler.support.JobRefusals
 import org.camphorhall.scheduler.support.ShardKeys
 import org.camphorhall.scheduler.support.WriteResult
 import java.util.concurrent.atomic.AtomicInteger
@@ -31,6 +32,7 @@
 internal class SchedulerJobIntake(
     private val config: () -> OperatorConfig?,
     private val records: JobRecordStore,
+    private val refusals: JobRefusals,
     private val owners: OwnerRequestClient,
     private val scope: CoroutineScope,
     private val clock: Clock,
@@ -97,10 +99,17 @@
 
     private suspend fun submit(record: JobRecord, deadline: Long, arrival: ClockReading): IntakeResponse {
         val forecast = overload.forecast(record)
-        if (forecast is AdmissionForecast.TooLate && isNew(record.id)) return overloaded(record.id, forecast)
-        val submission = FencedSubmission(fences, ShardKeys.shardOf(record.id, shards), record.id) {
-            clock.steady() < deadline && !arrival.mayHaveBeenSuspended()
+        // A job that was accepted before is not turned away when it is sent again.
+        if (forecast is AdmissionForecast.TooLate && refusals.confirmAbsent(record.id)) {
+            return overloaded(record.id, forecast)
         }
+        val submission = FencedSubmission(
+            fences,
+            ShardKeys.shardOf(record.id, shards),
+            record.id,
+            isTimely = { clock.steady() < deadline && !arrival.mayHaveBeenSuspended() },
+            isFresh = { clock.steady() - arrival.steady < FRESH_MILLIS },
+        )
         return responseOf(
             writer.write(
                 deadline,
@@ -118,9 +127,6 @@
         )
     }
 
-    /** Whether the store has no such job. A job that was accepted before is not turned away when it is sent again. */
-    private suspend fun isNew(id: String): Boolean = records.exists(id).fold({ false }, { !it })
-
     private fun overloaded(id: String, forecast: AdmissionForecast.TooLate) = IntakeResponse.Overloaded(
         "the job would end in ${forecast.expectedEndMillis} ms and is useful for ${forecast.usefulMillis} ms",
         retryAfter.seconds(id, forecast.roomAfterMillis),
@@ -197,6 +203,9 @@
         /** Used when neither the caller nor the operators set a timeout. */
         const val DEFAULT_TIMEOUT_MILLIS = 3_000L
 
+        /** Shorter than callers wait before they repeat a request at another entry; a few calls to the store. */
+        const val FRESH_MILLIS = 250L
+
         /** Time reserved for the response to reach the caller. */
         const val RESPONSE_MARGIN_MILLIS = 100L
 
--- a/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/IntakeFence.kt
+++ b/scheduler/src/main/kotlin/org/camphorhall/scheduler/support/IntakeFence.kt
@@ -20,12 +20,17 @@
 internal data class IntakeFence(
     /** Ids that were cancelled while no such job was stored. These jobs are not accepted. */
     val withdrawn: Set<String> = emptySet(),
+    /** The ids that were refused for lack of room last, oldest first. Later requests may store these jobs. */
+    val refused: Set<String> = emptySet(),
 ) {
     /** Whether no more ids can be withdrawn before the owner of the shard forgets some. */
     val isFull: Boolean get() = withdrawn.size >= MAX_WITHDRAWN
 
     fun withdraw(id: String): IntakeFence = copy(withdrawn = withdrawn + id)
 
+    fun refuse(ids: Set<String>): IntakeFence =
+        copy(refused = (refused - ids + ids).toList().takeLast(MAX_REFUSED).toSet())
+
     fun forget(ids: Set<String>): IntakeFence = copy(withdrawn = withdrawn - ids)
 
     /** The write of this record to [key]. */
@@ -35,6 +40,9 @@
     companion object {
         /** Bounds the record to about 20 KB, and the memory that requests for unknown jobs can take. */
         const val MAX_WITHDRAWN = 1_024
+
+        /** Covers the seconds for which an earlier request for one of these jobs may be under way at another entry. */
+        const val MAX_REFUSED = 256
     }
 }
 
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/entry/FencedSubmissionTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/entry/FencedSubmissionTest.kt
@@ -15,6 +15,9 @@
         val expected: WriteResult,
         val fences: List<Long>,
         val isTimely: Boolean = true,
+        val isFresh: Boolean = true,
+        /** Result of an earlier call of the same submission, on the other path. */
+        val earlier: WriteResult? = null,
     )
 
     private val stored = WriteResult.Stored
@@ -22,6 +25,9 @@
 
     private fun fence(revision: Long, vararg withdrawn: String) = StoredFence(IntakeFence(withdrawn.toSet()), revision)
 
+    private fun refused(revision: Long, job: String) =
+        WriteResult.Superseded(StoredFence(IntakeFence(refused = setOf(job)), revision))
+
     private fun superseded(revision: Long, vararg withdrawn: String) =
         WriteResult.Superseded(fence(revision, *withdrawn))
 
@@ -36,6 +42,13 @@
             listOf(3),
         ),
         "another job was withdrawn" to Case(listOf(superseded(5, "other"), stored), stored, listOf(3, 5)),
+        "the caller returns after a refusal" to Case(listOf(refused(5, JOB), stored), stored, listOf(3, 5)),
+        "refused elsewhere while this request waited" to
+            Case(listOf(refused(5, JOB)), refused(5, JOB), listOf(3), isFresh = false),
+        "refused elsewhere after a try without a response" to
+            Case(listOf(refused(5, JOB)), refused(5, JOB), listOf(3, 3), earlier = unknown),
+        "another job was refused" to
+            Case(listOf(refused(5, "other"), stored), stored, listOf(3, 3, 5), isFresh = false, earlier = unknown),
         "the outcome is unknown" to Case(listOf(unknown), unknown, listOf(3)),
         "the request was held up" to Case(listOf(superseded(5)), superseded(5), listOf(3), isTimely = false),
     )
@@ -47,7 +60,15 @@
             val cache = FenceCache(shards = 1).also { it.update(0, fence(3)) }
             val results = case.results.iterator()
             val fences = mutableListOf<Long>()
-            val result = FencedSubmission(cache, 0, JOB) { case.isTimely }.write {
+            val submission = FencedSubmission(cache, 0, JOB, { case.isTimely }, { case.isFresh })
+            val earlier = case.earlier
+            if (earlier != null) {
+                submission.write {
+                    fences += it
+                    earlier
+                }
+            }
+            val result = submission.write {
                 fences += it
                 results.next()
             }
@@ -60,7 +81,7 @@
     @Test
     fun `later requests begin with the newest fence`(): Unit = runBlocking {
         val cache = FenceCache(shards = 2)
-        FencedSubmission(cache, 0, JOB) { true }.write { if (it < 7) superseded(7, "other") else stored }
+        FencedSubmission(cache, 0, JOB, { true }).write { if (it < 7) superseded(7, "other") else stored }
         cache.update(0, fence(4))
         expectThat(listOf(cache[0], cache[1])).containsExactly(fence(7, "other"), fence(0))
     }
@@ -69,7 +90,7 @@
     @Test
     fun `a submission ends while the fence keeps changing`(): Unit = runBlocking {
         var calls = 0
-        val result = FencedSubmission(FenceCache(1), 0, JOB) { true }.write { superseded(it + 1).also { calls++ } }
+        val result = FencedSubmission(FenceCache(1), 0, JOB, { true }).write { superseded(it + 1).also { calls++ } }
         expectThat(result).isEqualTo(superseded(calls.toLong()))
     }
 
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/entry/IntakeFixture.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/entry/IntakeFixture.kt
@@ -18,6 +18,7 @@
 import org.camphorhall.process.Metrics
 import org.camphorhall.scheduler.peer.PeerSockets
 import org.camphorhall.scheduler.support.JobRecordStore
+import org.camphorhall.scheduler.support.JobRefusals
 import org.camphorhall.scheduler.support.OwnerClient
 import org.camphorhall.scheduler.support.OwnerFinder
 import org.camphorhall.scheduler.support.ShardKeys
@@ -34,9 +35,11 @@
 
     /** A caller's requests to one entry process. */
     inner class Entry(loads: List<ShardLoad> = emptyList()) {
+        private val records = JobRecordStore(store, shards = 1)
         private val intake = SchedulerJobIntake(
             config = { config },
-            records = JobRecordStore(store, shards = 1),
+            records = records,
+            refusals = JobRefusals(store, records, shards = 1),
             owners = OwnerRequestClient(OwnerClient(sockets, scope), listOf(OwnerFinder(store, keys))),
             scope = scope,
             clock = SystemClock,
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/entry/LateCreationTest.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/entry/LateCreationTest.kt
@@ -1,5 +1,6 @@
 package org.camphorhall.scheduler.entry
 
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
@@ -92,11 +93,13 @@
     /** Guards against an entry that goes on trying to store a job that was cancelled at another one meanwhile. */
     @Test
     fun `a submission ends when the job is withdrawn at another entry`(): Unit = runBlocking {
-        store.isLate = ::createsJob
+        val isDecided = CompletableDeferred<Unit>()
+        store.isLate = { createsJob(it) && store.pendingCount == 0 }
+        store.before = { if (createsJob(it)) withTimeout(5.seconds) { isDecided.await() } }
         val submission = async { first.submit(JOB) }
         withTimeout(5.seconds) { while (store.pendingCount == 0) delay(1.milliseconds) }
         expectThat(second.cancel(JOB)).isEqualTo(IntakeResponse.UnknownJob)
-        store.isLate = { false }
+        isDecided.complete(Unit)
         expectThat(submission.await()).isEqualTo(IntakeResponse.Withdrawn)
         store.carryOut()
         expectThat(fixture.isStored(JOB)).isFalse()
--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/LateWrites.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/owner/LateWrites.kt
@@ -6,18 +6,24 @@
 import org.camphorhall.platform.store.StoreTransaction
 import org.camphorhall.platform.store.TransactionalStore
 
-/** Does not respond to the transactions that [isLate] selects; [carryOut] performs them. */
+/** Does not respond to the transactions that [isLate] selects; [carryOut] performs them. [before] delays the others. */
 internal class LateWrites(private val store: TransactionalStore) : TransactionalStore by store {
     private val pending = mutableListOf<StoreTransaction>()
 
     @Volatile
     var isLate: (StoreTransaction) -> Boolean = { false }
 
+    @Volatile
+    var before: suspend (StoreTransaction) -> Unit = {}
+
     /** Number of transactions that wait for [carryOut]. */
     val pendingCount: Int get() = synchronized(pending) { pending.size }
 
     override suspend fun commit(transaction: StoreTransaction): Either<StoreError, Long> {
-        if (!isLate(transaction)) return store.commit(transaction)
+        if (!isLate(transaction)) {
+            before(transaction)
+            return store.commit(transaction)
+        }
         synchronized(pending) { pending += transaction }
         return StoreError.Uncertain("no response").left()
     }
