--- a/scheduler/src/test/kotlin/org/camphorhall/scheduler/entry/IntakeFixture.kt
+++ b/scheduler/src/test/kotlin/org/camphorhall/scheduler/entry/IntakeFixture.kt
@@ -17,17 +17,23 @@
 import org.camphorhall.platform.store.TransactionalStore
 import org.camphorhall.process.Metrics
 import org.camphorhall.scheduler.peer.PeerSockets
+import org.camphorhall.scheduler.support.Clock
 import org.camphorhall.scheduler.support.JobRecordStore
 import org.camphorhall.scheduler.support.JobRefusals
 import org.camphorhall.scheduler.support.OwnerClient
 import org.camphorhall.scheduler.support.OwnerFinder
 import org.camphorhall.scheduler.support.ShardKeys
 import org.camphorhall.scheduler.support.SystemClock
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Entries of one shard over [store], without an owner. */
-internal class IntakeFixture(private val store: TransactionalStore) : AutoCloseable {
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+/** Entries of one shard over [store], without an owner, and callers who wait [patience] for responses. */
+internal class IntakeFixture(
+    private val store: TransactionalStore,
+    private val clock: Clock = SystemClock,
+    private val scope: CoroutineScope = CoroutineScope(SupervisorJob() + Dispatchers.Default),
+    private val patience: Duration = 500.milliseconds,
+) : AutoCloseable {
     private val sockets = PeerSockets()
     private val keys = ShardKeys(0)
     private val jobClass = JobClass("class", "service", 0, maxAttempts = 2, 1.5, 250, 3_000)
@@ -42,20 +48,20 @@
             refusals = JobRefusals(store, records, shards = 1),
             owners = OwnerRequestClient(OwnerClient(sockets, scope), listOf(OwnerFinder(store, keys))),
             scope = scope,
-            clock = SystemClock,
+            clock = clock,
             metrics = IntakeMetrics(Metrics()),
-            writer = RecordWriter(SystemClock),
+            writer = RecordWriter(clock),
             isConfigFresh = { true },
-            overload = OverloadView(SystemClock, 1).also { it.update(0, loads) },
+            overload = OverloadView(clock, 1).also { it.update(0, loads) },
             shards = 1,
         )
 
         suspend fun submit(job: String, spec: JobSpec = SPEC): IntakeResponse =
-            intake.handle(IntakeRequest.Submit(address(job), PATIENCE, spec, bodyBytes = 100))
+            intake.handle(IntakeRequest.Submit(address(job), patience, spec, bodyBytes = 100))
 
-        suspend fun cancel(job: String): IntakeResponse = intake.handle(IntakeRequest.Cancel(address(job), PATIENCE))
+        suspend fun cancel(job: String): IntakeResponse = intake.handle(IntakeRequest.Cancel(address(job), patience))
 
-        suspend fun show(job: String): IntakeResponse = intake.handle(IntakeRequest.Show(address(job), PATIENCE))
+        suspend fun show(job: String): IntakeResponse = intake.handle(IntakeRequest.Show(address(job), patience))
     }
 
     /** Whether a record of [job] is stored. */
@@ -71,7 +77,6 @@
     private companion object {
         const val HOST = "host"
         const val PREFIX = "/jobs/"
-        val PATIENCE = 500.milliseconds
         val SPEC = JobSpec("payload", listOf(StepSpec(1, Resources(1_000, 100))))
     }
 }
