Let the soak cancel jobs whose acceptance is unknown

Callers of the soak cancelled only jobs of which they had a response, and no write of the store was carried out late. Now a share of the writes is lost and carried out 5 s later, both as one of the random faults and while a series of callers cancels jobs at once, and submits them again, at another entry. A job that is accepted after its cancellation was answered 410 is a violation, beside the existing one of starts after the acknowledgement.

--- a/e2e/src/test/kotlin/org/camphorhall/e2e/CancelledJobs.kt
+++ b/e2e/src/test/kotlin/org/camphorhall/e2e/CancelledJobs.kt
@@ -14,12 +14,22 @@
     private val acknowledgedAt = mutableMapOf<String, Long>()
     private val unknownWhenCancelled = mutableListOf<String>()
 
+    /** Jobs whose callers were told that there is no such job. */
+    private val withdrawn = mutableSetOf<String>()
+    private val acceptedAfterwards = mutableListOf<String>()
+
     /** Submits a job and cancels some of those that wait for it, the new one included. */
     fun step() {
         val id = "%016x".format(FIRST_ID + firstSubmits.size)
         firstSubmits += id
-        if (d.submitLongRunning(d.entries.random(random), id) == SchedulerDeployment.HTTP_OK) accepted += id
+        submit(id)
         waiting += id
+        if (id !in accepted && random.nextBoolean()) {
+            // The caller does not know whether there is a job, and a repeated request may arrive after the
+            // cancellation.
+            cancel(id)
+            submit(id)
+        }
         val chosen = waiting.filter { random.nextInt(CANCEL_CHOICES) == 0 }
         for (job in chosen) {
             repeat(if (random.nextBoolean()) 1 else 2) { cancel(job) }
@@ -44,8 +54,10 @@
             runs = runs()
         }
         check(runs.isNotEmpty()) { "no task of a cancelled job has run" }
+        println("${withdrawn.size} jobs cancelled as unknown")
         println("${acknowledgedAt.size} jobs cancelled, ${runs.size} runs: ${runs.groupingBy { it.end }.eachCount()}")
         return unknownWhenCancelled.map { "$it was accepted and is unknown when it is cancelled" } +
+            acceptedAfterwards.map { "$it was accepted after it was cancelled as unknown" } +
             runs.filter { it.end == null || checkNotNull(it.endedAt) > deadline }.map { "ends too late: $it" } +
             runs.filter { it.startedAt > acknowledgedAt.getValue(it.job) + START_BOUND.inWholeMilliseconds }
                 .map { "starts ${it.startedAt - acknowledgedAt.getValue(it.job)} ms after the acknowledgement: $it" }
@@ -53,9 +65,18 @@
 
     private fun runs() = d.runs().runs.filter { it.job in acknowledgedAt }
 
+    private fun submit(job: String) {
+        val status = d.submitLongRunning(d.entries.random(random), job)
+        if (status == SchedulerDeployment.HTTP_OK) {
+            accepted += job
+            if (job in withdrawn) acceptedAfterwards += job
+        }
+    }
+
     private fun cancel(job: String): Boolean {
         val status = d.cancel(d.entries.random(random), job)
         if (status == GONE && job in accepted) unknownWhenCancelled += job
+        if (status == GONE) withdrawn += job
         if (status != SchedulerDeployment.HTTP_OK && status != GONE) return false
         acknowledgedAt.putIfAbsent(job, nowMillis())
         return true
--- a/e2e/src/test/kotlin/org/camphorhall/e2e/SchedulerSoakTest.kt
+++ b/e2e/src/test/kotlin/org/camphorhall/e2e/SchedulerSoakTest.kt
@@ -61,6 +61,9 @@
                 Thread.sleep(random.nextLong(MAX_PAUSE_MILLIS))
                 endFault()
             }
+            d.setStoreFaults(LATE_WRITES)
+            repeat(JOBS_WITH_LATE_WRITES) { cancelled.step() }
+            d.setStoreFaults("{}")
             ProcessEnds(d, seed).use {
                 repeat(cancelledJobs) {
                     cancelled.step()
@@ -93,6 +96,7 @@
             """{"dropAnswers":true}""",
             """{"delayMillis":300}""",
             """{"lapseLeases":true}""",
+            LATE_WRITES,
         ).random(random)
         return when (random.nextInt(FAULT_CHOICES)) {
             0 -> stopFault(agent) { kill() }
@@ -160,6 +164,10 @@
     private companion object {
         const val JOBS_PER_ROUND = 4
 
+        /** Writes that are lost and carried out when their callers have given up and cancelled the job elsewhere. */
+        const val LATE_WRITES = """{"latePercent":60,"lateMillis":5000}"""
+        const val JOBS_WITH_LATE_WRITES = 8
+
         /** Jobs that are cancelled while processes end in series. */
         const val CANCELLED_JOBS = 30
         const val TASKS_PER_JOB = 4
