Keep the cancellation of a job that replaces a dropped one

What callers could see: a cancelled job that runs, if its owner was just told, late, of an earlier job with the same id. The cancellation ended the earlier job, which was then dropped, and the one that replaced it knew nothing of it.

Found when the diff was read. CommitTest fails without the change ("it was cancelled": Queued).

--- a/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
+++ b/core/src/main/kotlin/org/camphorhall/core/jobs/JobShard.kt
@@ -245,7 +245,10 @@
             // No start was sent, since this was the first write of the job.
             jobs[id]?.allTasks?.forEach { t -> t.worker?.let(workers::get)?.let { state.unassign(it, t) } }
             state.logEvent("job dropped", job = id, detail = "its record was deleted")
+            val isCancelled = jobs[id]?.phase == JobPhase.Cancelled
             remove(id, now)
+            // The cancellation may be that of the job that replaces it.
+            if (isCancelled) cancel(id, now)
         }
         for (w in commit.writes) {
             val job = jobs[w.job] ?: continue
--- a/core/src/test/kotlin/org/camphorhall/core/jobs/CommitSizeTest.kt
+++ b/core/src/test/kotlin/org/camphorhall/core/jobs/CommitTest.kt
@@ -8,7 +8,7 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 
-internal class CommitSizeTest {
+internal class CommitTest {
     private class Case(val recordRevision: Long, val jobsPerCommit: List<Int>)
 
     private val cases = mapOf(
@@ -29,6 +29,29 @@
         }
     }
 
+    private class SuccessorCase(val isCancelled: Boolean, val phase: JobPhase)
+
+    private val successorCases = mapOf(
+        "it goes on" to SuccessorCase(isCancelled = false, JobPhase.Queued),
+        "it was cancelled" to SuccessorCase(isCancelled = true, JobPhase.Cancelled),
+    )
+
+    /** Guards against a job that is lost, or runs although it is cancelled, because of a late notification. */
+    @Test
+    fun `the job that replaces a dropped one keeps its cancellation`() {
+        for ((name, case) in successorCases) {
+            val h = ShardHarness()
+            h.report(1)
+            h.shard.accept(record(listOf(step(1))), h.now, revision = 7)
+            h.shard.place(h.now, h.now)
+            h.shard.accept(record(listOf(step(1))), h.now, revision = 9)
+            if (case.isCancelled) h.shard.cancel(ShardHarness.JOB, h.now)
+            val commit = checkNotNull(h.shard.nextCommit())
+            h.shard.committed(commit, 10, h.now, missing = setOf(ShardHarness.JOB))
+            expectThat(h.shard.phaseOf(ShardHarness.JOB)).describedAs(name).isEqualTo(case.phase)
+        }
+    }
+
     /** Guards against a worker whose room stays taken by a job that was dropped. */
     @Test
     fun `a dropped job leaves its room to others`() {
